--- /dev/null
+++ b/src/rules.cpp
@@ -0,0 +1,665 @@
+// The decision module of ivyfield. Its interface (settings, events, actions) is include/ivyfield/director.hpp.
+// The mechanism is the pure rate control of Almeroth et al., section 5.1; docs/design.md says what was added.
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <map>
+#include <random>
+#include <set>
+
+#include "ivyfield/director.hpp"
+
+namespace ivyfield {
+
+namespace {
+
+// ---- Constants, each with its reason -----------------------------------------------------------------------
+
+constexpr Time kNever = -1e18, kAlways = 1e18;
+// The design: grants go unpaced while a server is counted under this part of its streams and link.
+constexpr double kPacedFrom = 0.70;
+// The design: T int is at least this; T view where no hint has come.
+constexpr Time kLeastInterval = 10000, kUsualView = 45000;
+// The design: a session rises at most once in this time. Read as a bound on each session's rises.
+constexpr Time kRiseEvery = 30000;
+// Links and uplinks are filled up to here: true rates and reports stray, and 1% short costs many points.
+constexpr double kMark = 0.90;
+// Rungs move only when use is off the mark by more than the noise of one smoothed report.
+constexpr double kFallOver = 0.04, kRiseUnder = 0.08;
+// One report moves the estimate of the others' load by this part: reports are noisy.
+constexpr double kGain = 0.4;
+// A report describes a server this long ago: half a usual refresh period and the way.
+constexpr Time kReportLag = 400;
+// Others' load is believed this long after the last word, then fades towards own load times the others.
+constexpr Time kFresh = 5000, kStale = 30000;
+// A set-up takes this long on a loaded server: a hold ends so long before the aim.
+constexpr Time kSetUp = 200;
+// An attempt that may be repeated gets this part of the time left to its aim, and this much at least.
+constexpr double kTryPart = 0.5;
+constexpr Time kLeastTry = 250;
+// An attempt unanswered for this long makes its server doubtful for paid sessions.
+constexpr Time kOverdue = 400;
+// After silence a server rests this long, doubling up to a limit so that its return is soon noticed.
+constexpr Time kRest = 500, kLongestRest = 8000;
+// After "full" a server rests this long: its link is asked for whole, and sessions end every few seconds.
+constexpr Time kFullRest = 1000;
+// Share of failed set-ups at which a server gets no paid session; weight of one outcome in that share.
+constexpr double kFailing = 0.15, kFailGain = 0.3;
+// Part of the bearable pace that all directors together send to a cold server: the rest is for chance.
+constexpr double kColdPart = 0.5;
+// Probes for each session taken: few, since they are paid for by the session.
+constexpr double kProbesPerSession = 0.5;
+// Tenants' requests are counted over this window; over share means so far above the quota.
+constexpr Time kShareWindow = 5000;
+constexpr double kOverShare = 1.3;
+// A drop to make room must cost less than this part of what it wins: the change itself costs.
+constexpr double kSwapGain = 0.8;
+// The module looks at holds and rungs this often.
+constexpr Time kTick = 20;
+
+// ---- Account -----------------------------------------------------------------------------------------------
+
+// Use of one shared thing (a server's streams, a link, an uplink): own part counted, the others' estimated.
+struct Account {
+    double total = 0, own = 0, others = 0;
+    Time seen = kNever;
+    std::deque<std::pair<Time, double>> past;  // own use before each change, for late reports
+
+    void set_own(Time now, double value) {
+        if (value == own) return;
+        past.emplace_back(now, own);
+        while (past.front().first < now - 10000) past.pop_front();
+        own = value;
+    }
+    double own_at(Time when) const {
+        for (const auto& [changed, before] : past)
+            if (changed > when) return before;
+        return own;
+    }
+    // A report says that `use` of the total was asked for `lag` ago.
+    void learn(Time now, double use, Time lag, double gain) {
+        const double sample = use * total - own_at(now - lag);
+        others = now - seen > kFresh ? sample : others + gain * (sample - others);
+        seen = now;
+    }
+    // Without word the others are taken to do as we do.
+    double use(Time now, int directors) const {
+        if (total <= 0) return 0;
+        const double trust = std::clamp((kStale - (now - seen)) / (kStale - kFresh), 0.0, 1.0);
+        const double guess = own * (directors - 1);
+        return std::max(0.0, own + trust * others + (1 - trust) * guess) / total;
+    }
+};
+
+struct Server {
+    ServerEntry entry;
+    bool listed = true;
+    Account streams, link;
+    std::set<SessionId> sessions;  // set-ups and plays of ours
+    // The clock.
+    Time interval_end = kNever, last_grant = kNever;
+    double granted = 0;
+    // Health.
+    int strikes = 0;
+    double failing = 0;
+    Time rest_until = kNever, full_until = kNever, last_ok = kNever;
+    Time cold_since = kNever, next_cold = kNever;
+    bool broke = false;
+    // Reports.
+    Time probed = kNever;
+    bool news = false;
+};
+
+struct Session {
+    SessionRequest request;
+    enum class State { held, out, playing } state = State::held;
+    bool answered = false;      // nothing is owed any more
+    bool may_have_run = false;  // some attempt was not proved never to have run
+    ServerId server = 0;
+    std::set<ServerId> tried;
+    int rung = 0, attempts = 0;
+    double worth = 1;
+    Time taken = 0, sent = 0, risen = kNever;
+};
+
+}  // namespace
+
+class Director::Rules {
+  public:
+    Rules(const Settings& settings, std::uint64_t seed) : set_(settings), random_(seed) {}
+
+    void handle(Time now, const Event& event, std::vector<Action>& actions) {
+        now_ = now;
+        out_ = &actions;
+        if (born_ == kNever) {
+            born_ = now;
+            act(SetAlarm{0, now + kTick});
+            if (set_.list_on_request) act(FollowList{true}), asked_ = now;
+        }
+        std::visit([this](const auto& e) { on(e); }, event);
+    }
+
+  private:
+    template <typename A>
+    void act(A action) { out_->emplace_back(std::in_place_type<A>, std::move(action)); }
+
+    const ClassSettings& cls(const Session& s) const { return set_.classes[s.request.cls]; }
+    bool shares(const Session& s) const { return cls(s).live && set_.join_part < 1; }
+    double rate(const Session& s, int rung) const { return set_.rung_kb[rung] * cls(s).rate_part; }
+    int top(const Session& s) const {
+        return std::max(cls(s).floor, std::min(cls(s).top, s.request.top_rung));
+    }
+    Time aim(const Session& s) const { return std::min(s.taken + cls(s).aim, s.request.deadline); }
+    int rack(const Server& v) const { return set_.racks > 0 ? v.entry.position % set_.racks : 0; }
+
+    Server* server(ServerId id) {
+        const auto it = servers_.find(id);
+        return it == servers_.end() ? nullptr : &it->second;
+    }
+
+    double use(const Server& v) {
+        return std::max(v.link.use(now_, set_.directors), uplinks_[rack(v)].use(now_, set_.directors));
+    }
+
+    // Counts own streams and rates of a server anew. Viewers of one live title, class and rung share a stream.
+    void recount(Server& v) {
+        std::map<std::tuple<TitleId, int, int>, int> shared;
+        double kb = 0, streams = 0;
+        for (const SessionId id : v.sessions) {
+            const Session& s = sessions_.at(id);
+            const bool further = shares(s) && shared[{s.request.title, s.request.cls, s.rung}]++ > 0;
+            kb += rate(s, s.rung) * (further ? set_.join_part : 1);
+            streams += further ? 0 : 1;
+        }
+        Account& up = uplinks_[rack(v)];
+        up.set_own(now_, up.own + kb - v.link.own);
+        v.link.set_own(now_, kb);
+        v.streams.set_own(now_, streams);
+    }
+
+    void learn(Server& v, const LoadReport& report) {
+        for (std::size_t k = 0; k < report.size() && k < set_.report_fields.size(); ++k) {
+            const double value = report[k];
+            if (!std::isfinite(value) || value < 0) continue;
+            switch (set_.report_fields[k]) {
+                case ReportField::streams:
+                    if (v.streams.total > 0) v.streams.learn(now_, value / v.streams.total, kReportLag, kGain);
+                    break;
+                case ReportField::link:
+                case ReportField::link_capped: v.link.learn(now_, value, kReportLag, kGain); break;
+                case ReportField::uplink: uplinks_[rack(v)].learn(now_, value, kReportLag, kGain / 2); break;
+                default: continue;
+            }
+            v.news = true;
+        }
+    }
+
+    // A delivered share below 1 is a link smaller than thought: what is asked of it is 1 over that share.
+    void on(const SessionNote& e) {
+        Server* v = server(e.server);
+        const auto it = sessions_.find(e.id);
+        if (e.kind == NoteKind::rung && it != sessions_.end() && v) {
+            it->second.rung = std::clamp(static_cast<int>(e.value), 0, int(set_.rung_kb.size()) - 1);
+            return recount(*v);
+        }
+        if (!v || !(e.value >= 0)) return;
+        Account& up = uplinks_[rack(*v)];
+        if (e.kind == NoteKind::delivered_share && e.value < 0.98) {
+            const double asked = 1 / std::max(e.value, 0.2);
+            if (up.use(now_, set_.directors) < asked) v->link.learn(now_, asked, set_.notes_late, 1);
+        } else if (e.kind == NoteKind::link) {
+            v->link.learn(now_, e.value, set_.notes_late, kGain);
+        } else if (e.kind == NoteKind::uplink) {
+            up.learn(now_, e.value, set_.notes_late, kGain);
+        }
+        v->news = true;
+    }
+
+    void on(const ProbeAnswered& e) {
+        Server* v = server(e.server);
+        if (!v) return;
+        if (e.outcome == Outcome::ended) learn(*v, e.report);
+    }
+
+    // Probes go to the server whose report is oldest, as sessions come: where none come none are needed.
+    void probe() {
+        if (!set_.probes || set_.report_fields.empty()) return;
+        probe_credit_ += kProbesPerSession;
+        while (probe_credit_ >= 1) {
+            Server* oldest = nullptr;
+            for (auto& [id, v] : servers_)
+                if (v.listed && v.entry.state == ServerState::ready && (!oldest || v.probed < oldest->probed))
+                    oldest = &v;
+            if (!oldest) return;
+            probe_credit_ -= 1;
+            oldest->probed = now_;
+            act(Probe{oldest->entry.id});
+        }
+    }
+
+    // ---- Clock ---------------------------------------------------------------------------------------------
+
+    Time view() const { return hints_ > 0 ? hint_sum_ / hints_ : kUsualView; }
+
+    // When the server's clock grants the next stream; kNever: at once.
+    Time opens(Server& v) {
+        if (v.streams.total <= 0) return kNever;
+        if (v.streams.use(now_, set_.directors) < kPacedFrom && use(v) < kPacedFrom) return kNever;
+        const Time interval = std::max(kLeastInterval, view() / v.streams.total);
+        if (now_ >= v.interval_end) v.interval_end = now_ + interval, v.granted = 0;
+        const double most = std::max(1.0, std::floor(interval * v.streams.total / view()));
+        if (v.granted >= most) return v.interval_end;
+        return v.last_grant + (v.interval_end - now_) / (most - v.granted);
+    }
+
+    // A cold server takes set-ups at a slowly rising pace; ours is our part of it among all directors.
+    Time cold_opens(const Server& v) const {
+        if (set_.fall_multiple <= 0 || now_ >= v.cold_since + set_.cold_time) return kNever;
+        return v.next_cold;
+    }
+    void spend_cold(Server& v) {
+        const double age = std::clamp((now_ - v.cold_since) / std::max(1.0, set_.cold_time), 0.0, 1.0);
+        const double warmth = set_.cold_from + (1 - set_.cold_from) * age * age;
+        const double pace = std::max(1.0, v.streams.total) / std::max(1.0, set_.cold_time) * warmth *
+                            set_.fall_multiple * kColdPart / std::max(1, set_.directors);
+        v.next_cold = now_ + 1 / pace;
+    }
+
+    // ---- Holds and the choice of a server -------------------------------------------------------------------
+
+    bool holds_title(const Server& v, const SessionRequest& q) const {
+        if (set_.cells <= 0) return true;
+        const int from = ((v.entry.position - q.first_cell) % set_.cells + set_.cells) % set_.cells;
+        return from < q.cell_count;
+    }
+
+    // Paid sessions go only where set-ups are answered; the others also test doubtful servers.
+    bool fit(const Server& v, const Session& s, bool strict) const {
+        if (!v.listed || v.entry.state != ServerState::ready || !holds_title(v, s.request)) return false;
+        if (now_ < v.rest_until || now_ < v.full_until) return false;
+        if (s.tried.count(v.entry.id) && strict) return false;
+        if (cls(s).repeat == Repeat::harmless || !strict) return true;
+        if (v.strikes > 0 || v.failing >= kFailing) return false;
+        for (const SessionId id : v.sessions) {
+            const Session& o = sessions_.at(id);
+            if (o.state == Session::State::out && now_ - o.sent > kOverdue) return false;
+        }
+        return true;
+    }
+
+    bool seat_free(const Session& s) const {
+        if (cls(s).seats <= 0) return true;
+        const auto it = seats_.find({s.request.title, s.request.cls});
+        return it == seats_.end() || it->second < cls(s).seats;
+    }
+
+    // Kilobytes a second that the server's link and its rack's uplink still have under the mark.
+    double room(Server& v) {
+        Account& up = uplinks_[rack(v)];
+        const double link = (kMark - v.link.use(now_, set_.directors)) * v.link.total;
+        return up.total > 0 ? std::min(link, (kMark - up.use(now_, set_.directors)) * up.total) : link;
+    }
+
+    double value(Server& v, const Session& s) {
+        double value = 1 - std::max(use(v), v.streams.use(now_, set_.directors));
+        if (v.entry.zone != set_.zone) value -= set_.cross_zone_price * 5;
+        value -= v.failing + 0.1 * v.strikes + (s.tried.count(v.entry.id) ? 1 : 0);
+        return value + std::uniform_real_distribution<double>(0, 0.02)(random_);
+    }
+
+    // Decides on a session that is owed an answer and has no attempt out.
+    void place(SessionId id) {
+        Session& s = sessions_.at(id);
+        if (s.attempts >= std::max(1, set_.max_attempts) || now_ >= s.request.deadline - 1 ||
+            (s.attempts > 0 && !may_repeat(s)) || !seat_free(s))
+            return give_up(id);
+        for (const bool strict : {true, false}) {
+            Server *best = nullptr, *roomiest = nullptr, *joined = nullptr;
+            double best_value = 0, most_room = 0;
+            int join_rung = -1;
+            Time soonest = kAlways;
+            for (auto& [sid, v] : servers_) {
+                if (!fit(v, s, strict)) continue;
+                const Time cold = cold_opens(v);
+                if (const int rung = joinable(v, s); rung > join_rung && cold <= now_)
+                    joined = &v, join_rung = rung;
+                if (v.streams.total > 0 && v.streams.use(now_, set_.directors) >= 1) continue;
+                const Time open = std::max(opens(v), cold);
+                soonest = std::min(soonest, open);
+                const double val = value(v, s);
+                if (cold <= now_ && (!roomiest || val > most_room)) roomiest = &v, most_room = val;
+                if (open <= now_ && (!best || val > best_value)) best = &v, best_value = val;
+            }
+            if (joined) return send(id, *joined, join_rung, false);
+            const Time last = aim(s) - kSetUp;
+            if (!best && now_ >= last) best = roomiest;
+            if (best) {
+                const int rung = rung_for(*best, s);
+                if (rung >= 0) return send(id, *best, rung, true);
+            } else if (soonest < last) {
+                s.state = Session::State::held;
+                held_.insert(id);
+                return;
+            } else if (soonest < kAlways) {
+                return give_up(id, soonest - now_);
+            }
+            if (best) return give_up(id, view() / std::max(1.0, best->streams.total));
+        }
+        give_up(id, kRest);
+    }
+
+    // The rung at which the session can join a live stream of ours at the server, else -1.
+    int joinable(Server& v, const Session& s) {
+        if (!shares(s)) return -1;
+        int rung = -1;
+        for (const SessionId id : v.sessions) {
+            const Session& o = sessions_.at(id);
+            if (o.request.title == s.request.title && o.request.cls == s.request.cls && o.rung <= top(s))
+                rung = std::max(rung, o.rung);
+        }
+        return rung >= 0 && use(v) < 1 ? rung : -1;
+    }
+
+    void send(SessionId id, Server& v, int rung, bool grant) {
+        Session& s = sessions_.at(id);
+        held_.erase(id);
+        if (grant) v.last_grant = now_, v.granted += 1;
+        spend_cold(v);
+        if (s.attempts > 0) repeats_.push_back(now_);
+        s.attempts += 1;
+        s.tried.insert(v.entry.id);
+        s.state = Session::State::out;
+        s.server = v.entry.id;
+        s.sent = now_;
+        s.rung = rung;
+        Time expires = s.request.deadline;
+        if (cls(s).repeat == Repeat::harmless && aim(s) > now_) {
+            const bool again = s.attempts < set_.max_attempts && budget_left(1);
+            expires = again ? std::max(now_ + kLeastTry, now_ + kTryPart * (aim(s) - now_)) : aim(s);
+            expires = std::min(expires, s.request.deadline);
+        }
+        if (cls(s).seats > 0) seats_[{s.request.title, s.request.cls}] += 1;
+        v.sessions.insert(id);
+        recount(v);
+        act(SetRung{id, rung});
+        act(Send{id, v.entry.id, expires});
+    }
+
+    // ---- Rungs ---------------------------------------------------------------------------------------------
+
+    // Worth a second won for each kB a second in going from one rung to another (from -1: from nothing).
+    double density(const Session& s, int from, int to) const {
+        const double kb = rate(s, to) - (from < 0 ? 0 : rate(s, from));
+        return s.worth * (set_.rung_worth[to] - (from < 0 ? 0 : set_.rung_worth[from])) / std::max(kb, 1e-9);
+    }
+
+    // The highest rung with room under the mark. Where even the rung that earns most for its rate has none,
+    // own sessions that earn less for theirs step down first.
+    int rung_for(Server& v, const Session& s) {
+        int best = cls(s).floor;
+        for (int r = best + 1; r <= top(s); ++r)
+            if (density(s, -1, r) > density(s, -1, best)) best = r;
+        if (rate(s, best) > room(v)) lower(v, rate(s, best) - room(v), density(s, -1, best) * kSwapGain);
+        const double left = room(v);
+        for (int r = top(s); r >= cls(s).floor; --r)
+            if (rate(s, r) <= left) return r;
+        return -1;
+    }
+
+    struct Step {
+        std::vector<SessionId> members;
+        int to;
+        double kb, density;
+    };
+    // The cheapest step down (or the best step up) among own playing streams at a server; members move together.
+    std::optional<Step> step(const Server& v, int by) {
+        std::optional<Step> best;
+        std::set<std::tuple<TitleId, int, int>> seen;
+        for (const SessionId id : v.sessions) {
+            const Session& s = sessions_.at(id);
+            if (shares(s) && !seen.insert({s.request.title, s.request.cls, s.rung}).second) continue;
+            Step one{{}, s.rung + by, 0, 0};
+            double worth = 0;
+            bool able = true;
+            for (const SessionId other : shares(s) ? v.sessions : std::set<SessionId>{id}) {
+                const Session& o = sessions_.at(other);
+                if (o.request.title != s.request.title || o.request.cls != s.request.cls || o.rung != s.rung)
+                    continue;
+                able = able && !o.answered && o.state == Session::State::playing && one.to >= cls(o).floor &&
+                       one.to <= top(o) && (by < 0 || now_ - o.risen >= kRiseEvery);
+                worth += o.worth;
+                one.members.push_back(other);
+            }
+            if (!able) continue;
+            const double unit = std::abs(rate(s, one.to) - rate(s, s.rung));
+            one.kb = unit * (1 + set_.join_part * (one.members.size() - 1));
+            one.density = worth * std::abs(set_.rung_worth[one.to] - set_.rung_worth[s.rung]) / one.kb;
+            if (!best || (by < 0 ? one.density < best->density : one.density > best->density)) best = one;
+        }
+        return best;
+    }
+    void take(Server& v, const Step& step, bool up) {
+        for (const SessionId id : step.members) {
+            Session& s = sessions_.at(id);
+            s.rung = step.to;
+            if (up) s.risen = now_;
+            act(SetRung{id, step.to});
+        }
+        recount(v);
+    }
+    void lower(Server& v, double kb, double below) {
+        while (kb > 0) {
+            const auto down = step(v, -1);
+            if (!down || down->density >= below) return;
+            kb -= down->kb;
+            take(v, *down, false);
+        }
+    }
+
+    // On news, own rates go towards the mark in proportion: if all directors do so the whole meets it.
+    void regulate(Server& v) {
+        v.news = false;
+        const double now_used = use(v);
+        if (now_used > kMark + kFallOver) {
+            lower(v, v.link.own * (1 - kMark / now_used), std::numeric_limits<double>::infinity());
+        } else if (now_used < kMark - kRiseUnder && now_ >= v.rest_until) {
+            double kb = v.link.own * (kMark / std::max(now_used, 0.1) - 1);
+            while (const auto up = step(v, +1)) {
+                if (up->kb > kb || up->kb > room(v)) break;
+                kb -= up->kb;
+                take(v, *up, true);
+            }
+        }
+    }
+
+    // ---- Health --------------------------------------------------------------------------------------------
+
+    void answered(Server& v) {
+        if (v.broke || v.strikes > 1) v.cold_since = now_;  // it may have started anew
+        v.broke = false;
+        v.strikes = 0;
+        v.rest_until = kNever;
+        v.last_ok = now_;
+    }
+    void strike(Server& v, bool broke) {
+        v.strikes += 1;
+        v.broke = v.broke || broke;
+        if (broke) v.cold_since = now_;
+        v.rest_until = now_ + std::min(kLongestRest, kRest * std::pow(2, std::min(v.strikes, 6)));
+    }
+
+    // ---- Attempts and answers ------------------------------------------------------------------------------
+
+    bool budget_left(int more) {
+        if (!set_.budget) return true;
+        const Time from = now_ - set_.budget->window;
+        while (!repeats_.empty() && repeats_.front() < from) repeats_.pop_front();
+        while (!requests_.empty() && requests_.front() <= from) requests_.pop_front();
+        return repeats_.size() + more <= set_.budget->free + set_.budget->per_request * requests_.size();
+    }
+    bool may_repeat(const Session& s) {
+        if (!budget_left(1)) return false;
+        if (!s.may_have_run || cls(s).repeat == Repeat::harmless) return true;
+        return cls(s).repeat == Repeat::keyed && cls(s).group == RepeatGroup::anywhere &&
+               now_ < s.sent + cls(s).repeat_window;
+    }
+
+    void give_up(SessionId id, Time again = 0) {
+        const Session& s = sessions_.at(id);
+        const bool refusable = !s.may_have_run || cls(s).repeat == Repeat::harmless ||
+                               (cls(s).repeat == Repeat::keyed && cls(s).group == RepeatGroup::anywhere);
+        if (refusable)
+            act(Refuse{id, std::clamp(again, 0.0, set_.max_retry_after)});
+        else
+            act(Fail{id});
+        held_.erase(id);
+        sessions_.erase(id);
+    }
+
+    void on(const SessionRequest& q) {
+        requests_.push_back(now_);
+        budget_left(0);
+        if (q.length_hint) hint_sum_ += *q.length_hint, hints_ += 1;
+        Session s;
+        s.request = q;
+        s.taken = now_;
+        s.worth = cls(s).worth * (over_share(q.tenant) ? set_.over_share_worth : 1);
+        sessions_[q.id] = s;
+        place(q.id);
+        probe();
+    }
+
+    bool over_share(int tenant) {
+        if (tenant >= int(set_.tenants.size()) || set_.tenants[tenant].quota_per_s <= 0) return false;
+        auto& times = tenants_[tenant];
+        times.push_back(now_);
+        while (times.front() < now_ - kShareWindow) times.pop_front();
+        const double quota = set_.tenants[tenant].quota_per_s * kShareWindow / 1000 / set_.directors;
+        return times.size() > kOverShare * quota + 2;
+    }
+
+    void on(const SessionAdopted& e) {
+        if (!adopting_) {  // the start of a day, not of this director alone: servers are warm unless listed so
+            adopting_ = true;
+            for (auto& [id, v] : servers_) v.cold_since = v.entry.last_start > 0 ? v.entry.last_start : kNever;
+        }
+        Session s;
+        s.request = e.request;
+        s.taken = now_;
+        s.state = Session::State::playing;
+        s.answered = false;
+        s.server = e.server;
+        s.attempts = 1;
+        s.rung = cls(s).floor;
+        s.worth = cls(s).worth;
+        sessions_[e.request.id] = s;
+        if (cls(s).seats > 0) seats_[{s.request.title, s.request.cls}] += 1;
+        if (Server* v = server(e.server)) v->sessions.insert(e.request.id), recount(*v);
+    }
+
+    void on(const SessionStarted& e) {
+        if (Server* v = server(e.server)) {
+            answered(*v);
+            v->failing *= 1 - kFailGain;
+        }
+        const auto it = sessions_.find(e.id);
+        if (it != sessions_.end()) it->second.state = Session::State::playing;
+    }
+
+    void on(const AttemptOver& e) {
+        Server* v = server(e.server);
+        const auto it = sessions_.find(e.id);
+        const bool was_out = it != sessions_.end() && it->second.state == Session::State::out;
+        if (v) {
+            learn(*v, e.report);
+            if (was_out) {
+                if (e.outcome == Outcome::timed_out) strike(*v, false);
+                if (e.outcome == Outcome::full) v->full_until = now_ + kFullRest;
+                if (e.outcome == Outcome::error) v->failing += kFailGain * (1 - v->failing);
+            }
+            if (e.outcome == Outcome::reset || e.outcome == Outcome::not_connected) strike(*v, true);
+        }
+        if (it == sessions_.end()) return;
+        Session& s = it->second;
+        if (v) v->sessions.erase(e.id);
+        if (cls(s).seats > 0) seats_[{s.request.title, s.request.cls}] -= 1;
+        const bool ended = e.session_over || s.answered || !was_out;
+        if (e.outcome != Outcome::full && e.outcome != Outcome::not_connected && e.outcome != Outcome::not_sent)
+            s.may_have_run = true;
+        if (ended) held_.erase(e.id), sessions_.erase(it);
+        if (v) recount(*v);
+        if (ended) return;
+        s.state = Session::State::held;
+        if (s.may_have_run && cls(s).repeat == Repeat::paid) return give_up(e.id);
+        if (now_ >= aim(s) - kSetUp / 2) return give_up(e.id);
+        place(e.id);
+    }
+
+    void on(const SessionAbandoned& e) {
+        const auto it = sessions_.find(e.id);
+        if (it == sessions_.end()) return;
+        held_.erase(e.id);
+        if (it->second.state == Session::State::held)
+            sessions_.erase(it);
+        else
+            it->second.answered = true;  // its attempt still holds a stream and a seat
+    }
+
+    void on(const AlarmDue&) {
+        act(SetAlarm{0, now_ + kTick});
+        const std::set<SessionId> held = held_;
+        std::vector<std::pair<Time, SessionId>> order;  // first come, first served
+        for (const SessionId id : held) order.emplace_back(sessions_.at(id).taken, id);
+        std::sort(order.begin(), order.end());
+        for (const auto& [taken, id] : order)
+            if (held_.count(id)) place(id);
+        for (auto& [id, v] : servers_)
+            if (v.news && v.listed) regulate(v);
+        if (set_.list_on_request && now_ - asked_ > set_.ask_within / 3) act(FetchList{}), asked_ = now_;
+    }
+
+    // ---- Membership ----------------------------------------------------------------------------------------
+
+    void on(const ServerList& e) {
+        if (e.kind == ListKind::failed) return;
+        if (e.kind != ListKind::changes)
+            for (auto& [id, v] : servers_) v.listed = false;
+        for (const ServerEntry& entry : e.entries) {
+            const auto [it, added] = servers_.try_emplace(entry.id);
+            Server& v = it->second;
+            // A saved list may be old: any server on it may have started since, so all are paced as cold.
+            if (e.kind == ListKind::saved) v.cold_since = now_;
+            if (entry.last_start > v.entry.last_start) v.cold_since = std::max(v.cold_since, entry.last_start);
+            v.entry = entry;
+            v.listed = entry.state != ServerState::gone;
+            v.link.total = (set_.weighted ? entry.weight : 1) * set_.weight_kb;
+            v.streams.total = entry.kind < int(set_.kind_streams.size()) ? set_.kind_streams[entry.kind] : 0;
+            uplinks_[rack(v)].total = set_.rack_kb;
+        }
+    }
+
+    Settings set_;
+    std::mt19937_64 random_;
+    Time now_ = 0, born_ = kNever, asked_ = kNever;
+    std::vector<Action>* out_ = nullptr;
+    std::map<ServerId, Server> servers_;
+    std::map<int, Account> uplinks_;
+    std::map<SessionId, Session> sessions_;
+    std::set<SessionId> held_;
+    std::map<std::pair<TitleId, int>, int> seats_;
+    std::map<int, std::deque<Time>> tenants_;
+    std::deque<Time> requests_, repeats_;  // for the budget of further attempts
+    double hint_sum_ = 0, hints_ = 0, probe_credit_ = 0;
+    bool adopting_ = false;
+};
+
+Director::Director(const Settings& settings, std::uint64_t seed) : rules_(new Rules(settings, seed)) {}
+Director::~Director() = default;
+Director::Director(Director&&) noexcept = default;
+Director& Director::operator=(Director&&) noexcept = default;
+void Director::handle(Time now, const Event& event, std::vector<Action>& actions) {
+    rules_->handle(now, event, actions);
+}
+
+}  // namespace ivyfield
