Spare room at set-up: rungs above the best-earning one need 0.2 of the link free

Cause: sessions started at the highest rung with room and were stepped down as others came; each change costs.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -27,6 +27,9 @@
 constexpr Time kRiseEvery = 30000;
 // Links and uplinks are filled up to here: true rates and reports stray, and 1% short costs many points.
 constexpr double kMark = 0.90;
+// A new session starts above the rung that earns most for its rate only where this part of a link stays free
+// for those still to come: a later step down costs more than a later step up wins.
+constexpr double kSpare = 0.2;
 // Rungs move only when use is off the mark by more than the noise of one smoothed report.
 constexpr double kFallOver = 0.04, kRiseUnder = 0.08;
 // One report moves the estimate of the others' load by this part: reports are noisy.
@@ -423,10 +426,10 @@
         for (int r = best + 1; r <= top(s); ++r)
             if (density(s, -1, r) > density(s, -1, best)) best = r;
         if (rate(s, best) > room(v)) lower(v, rate(s, best) - room(v), density(s, -1, best) * kSwapGain);
-        const double left = room(v);
-        for (int r = top(s); r >= cls(s).floor; --r)
-            if (rate(s, r) <= left) return r;
-        return -1;
+        const double left = room(v), spare = kSpare * v.link.total;
+        int rung = -1;
+        for (int r = cls(s).floor; r <= top(s) && rate(s, r) <= left - (r > best ? spare : 0); ++r) rung = r;
+        return rung;
     }
 
     struct Step {
