--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -31,7 +31,7 @@
 // for those still to come: a later step down costs more than a later step up wins.
 constexpr double kSpare = 0.2;
 // Rungs move only when use is off the mark by more than the noise of one smoothed report.
-constexpr double kFallOver = 0.08, kRiseUnder = 0.2;
+constexpr double kFallOver = 0.05, kRiseUnder = 0.25;
 // One report moves the estimate of the others' load by this part: reports are noisy.
 constexpr double kGain = 0.4;
 // A report describes a server this long ago: half a usual refresh period and the way.
