--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -26,7 +26,7 @@
 // The design: a session rises at most once in this time. Read as a bound on each session's rises.
 constexpr Time kRiseEvery = 30000;
 // Links and uplinks are filled up to here: true rates and reports stray, and 1% short costs many points.
-constexpr double kMark = 0.90;
+constexpr double kMark = 0.85;
 // A new session starts above the rung that earns most for its rate only where this part of a link stays free
 // for those still to come: a later step down costs more than a later step up wins.
 constexpr double kSpare = 0.2;
