--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -26,12 +26,12 @@
 // The design: a session rises at most once in this time. Read as a bound on each session's rises.
 constexpr Time kRiseEvery = 30000;
 // Links and uplinks are filled up to here: true rates and reports stray, and 1% short costs many points.
-constexpr double kMark = 0.85;
+constexpr double kMark = 0.95;
 // A new session starts above the rung that earns most for its rate only where this part of a link stays free
 // for those still to come: a later step down costs more than a later step up wins.
 constexpr double kSpare = 0.2;
 // Rungs move only when use is off the mark by more than the noise of one smoothed report.
-constexpr double kFallOver = 0.05, kRiseUnder = 0.25;
+constexpr double kFallOver = 0.08, kRiseUnder = 0.2;
 // One report moves the estimate of the others' load by this part: reports are noisy.
 constexpr double kGain = 0.4;
 // A report describes a server this long ago: half a usual refresh period and the way.
