A new session takes at most a third of the room left above its best-earning rung

Folds the spare room into one rule that scales with room. Holds against any rise in demand and uneven spread; on an idle fleet it starts lower and leaves the rest to rises.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -27,9 +27,10 @@
 constexpr Time kRiseEvery = 30000;
 // Links and uplinks are filled up to here: true rates and reports stray, and 1% short costs many points.
 constexpr double kMark = 0.95;
-// A new session starts above the rung that earns most for its rate only where this part of a link stays free
-// for those still to come: a later step down costs more than a later step up wins.
-constexpr double kSpare = 0.2;
+// A new session starts above the rung that earns most for its rate only where that takes no more than this
+// part of the room left: worth grows ever slower with rate, so equal rungs earn most, and a later step down
+// costs more than a later step up wins.
+constexpr double kRoomPart = 0.33;
 // Rungs move only when use is off the mark by more than the noise of one smoothed report.
 constexpr double kFallOver = 0.08, kRiseUnder = 0.2;
 // One report moves the estimate of the others' load by this part: reports are noisy.
@@ -426,9 +427,9 @@
         for (int r = best + 1; r <= top(s); ++r)
             if (density(s, -1, r) > density(s, -1, best)) best = r;
         if (rate(s, best) > room(v)) lower(v, rate(s, best) - room(v), density(s, -1, best) * kSwapGain);
-        const double left = room(v), spare = kSpare * v.link.total;
+        const double left = room(v);
         int rung = -1;
-        for (int r = cls(s).floor; r <= top(s) && rate(s, r) <= left - (r > best ? spare : 0); ++r) rung = r;
+        for (int r = cls(s).floor; r <= top(s) && rate(s, r) <= left * (r > best ? kRoomPart : 1); ++r) rung = r;
         return rung;
     }
 
