--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,7 +30,7 @@
 // A new session starts above the rung that earns most for its rate only where that takes no more than this
 // part of the room left: worth grows ever slower with rate, so equal rungs earn most, and a later step down
 // costs more than a later step up wins.
-constexpr double kRoomPart = 0.33;
+constexpr double kRoomPart = 0.2;
 // Rungs move only when use is off the mark by more than the noise of one smoothed report.
 constexpr double kFallOver = 0.08, kRiseUnder = 0.2;
 // One report moves the estimate of the others' load by this part: reports are noisy.
