--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -29,7 +29,7 @@
 constexpr double kMark = 0.95;
 // The mark learns: each word of short delivery takes off up to kMarkDrop, each millisecond without adds a
 // little.
-constexpr double kLowestMark = 0.85, kHighestMark = 1.0, kMarkDrop = 0.03, kMarkRise = 0.005 / 1000;
+constexpr double kLowestMark = 0.85, kHighestMark = 1.0, kMarkDrop = 0.10, kMarkRise = 0.002 / 1000;
 // A new session starts above the rung that earns most for its rate only where that takes no more than this
 // part of the room left: worth grows ever slower with rate, so equal rungs earn most, and a later step down
 // costs more than a later step up wins.
