--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -27,9 +27,6 @@
 constexpr Time kRiseEvery = 30000;
 // Links and uplinks are filled up to here: true rates and reports stray, and 1% short costs many points.
 constexpr double kMark = 0.95;
-// The mark learns: each word of short delivery takes off up to kMarkDrop, each millisecond without adds a
-// little.
-constexpr double kLowestMark = 0.85, kHighestMark = 1.0, kMarkDrop = 0.10, kMarkRise = 0.002 / 1000;
 // A new session starts above the rung that earns most for its rate only where that takes no more than this
 // part of the room left: worth grows ever slower with rate, so equal rungs earn most, and a later step down
 // costs more than a later step up wins.
@@ -75,9 +72,7 @@
 // Use of one shared thing (a server's streams, a link, an uplink): own part counted, the others' estimated.
 struct Account {
     double total = 0, own = 0, others = 0;
-    double marked = kMark;
-    Time seen = kNever, marked_at = kAlways;  // kAlways: no word yet
-
+    Time seen = kNever;
     std::deque<std::pair<Time, double>> past;  // own use before each change, for late reports
 
     void set_own(Time now, double value) {
@@ -97,14 +92,6 @@
         others = now - seen > kFresh ? sample : others + gain * (sample - others);
         seen = now;
     }
-    // The mark: lowered by word of short delivery, rising again while none comes.
-    double mark(Time now) const {
-        return std::min(kHighestMark, marked + kMarkRise * std::max(0.0, now - marked_at));
-    }
-    void lower_mark(Time now, double shortage) {
-        marked = std::max(kLowestMark, mark(now) - std::min(kMarkDrop, shortage));
-        marked_at = now;
-    }
     // Without word the others are taken to do as we do.
     double use(Time now, int directors) const {
         if (total <= 0) return 0;
@@ -239,9 +226,6 @@
         Account& up = uplinks_[rack(*v)];
         if (e.kind == NoteKind::delivered_share && e.value < 0.98) {
             const double asked = 1 / std::max(e.value, 0.2);
-            Account& short_one =
-                up.use(now_, set_.directors) > v->link.use(now_, set_.directors) ? up : v->link;
-            short_one.lower_mark(now_, 0.98 - e.value);
             if (up.use(now_, set_.directors) < asked) v->link.learn(now_, asked, set_.notes_late, 1);
         } else if (e.kind == NoteKind::link) {
             v->link.learn(now_, e.value, set_.notes_late, kGain);
@@ -332,11 +316,13 @@
     }
 
     // Kilobytes a second that the server's link and its rack's uplink still have under the mark.
+    double link_room(const Server& v) const {
+        return (kMark - v.link.use(now_, set_.directors)) * v.link.total;
+    }
     double room(Server& v) {
         Account& up = uplinks_[rack(v)];
-        const double link = (v.link.mark(now_) - v.link.use(now_, set_.directors)) * v.link.total;
-        return up.total > 0 ? std::min(link, (up.mark(now_) - up.use(now_, set_.directors)) * up.total)
-                            : link;
+        const double link = link_room(v);
+        return up.total > 0 ? std::min(link, (kMark - up.use(now_, set_.directors)) * up.total) : link;
     }
 
     double value(Server& v, const Session& s) {
@@ -443,7 +429,13 @@
         int best = cls(s).floor;
         for (int r = best + 1; r <= top(s); ++r)
             if (density(s, -1, r) > density(s, -1, best)) best = r;
-        if (rate(s, best) > room(v)) lower(v, rate(s, best) - room(v), density(s, -1, best) * kSwapGain);
+        // Where the uplink is what is short, sessions on all servers of the rack can make room.
+        const double price = density(s, -1, best) * kSwapGain;
+        if (const double lack = rate(s, best) - room(v); lack > 0) lower(v, lack, price);
+        for (auto& [id, other] : servers_) {
+            if (rack(other) != rack(v) || link_room(v) < rate(s, best)) continue;
+            if (const double lack = rate(s, best) - room(v); lack > 0) lower(other, lack, price);
+        }
         const double left = room(v);
         int rung = -1;
         for (int r = cls(s).floor; r <= top(s) && rate(s, r) <= left * (r > best ? kRoomPart : 1); ++r)
@@ -505,17 +497,15 @@
     // On news, own rates go towards the mark in proportion: if all directors do so the whole meets it.
     void regulate(Server& v) {
         v.news = false;
-        const Account& up = uplinks_[rack(v)];
-        const double filled = std::max(v.link.use(now_, set_.directors) / v.link.mark(now_),
-                                       up.use(now_, set_.directors) / up.mark(now_));
-        if (filled > 1 + kFallOver) {
-            lower(v, v.link.own * (1 - 1 / filled), std::numeric_limits<double>::infinity());
-        } else if (filled < 1 - kRiseUnder && now_ >= v.rest_until) {
-            double kb = v.link.own * (1 / std::max(filled, 0.1) - 1);
-            while (const auto rise = step(v, +1)) {
-                if (rise->kb > kb || rise->kb > room(v)) break;
-                kb -= rise->kb;
-                take(v, *rise, true);
+        const double now_used = use(v);
+        if (now_used > kMark + kFallOver) {
+            lower(v, v.link.own * (1 - kMark / now_used), std::numeric_limits<double>::infinity());
+        } else if (now_used < kMark - kRiseUnder && now_ >= v.rest_until) {
+            double kb = v.link.own * (kMark / std::max(now_used, 0.1) - 1);
+            while (const auto up = step(v, +1)) {
+                if (up->kb > kb || up->kb > room(v)) break;
+                kb -= up->kb;
+                take(v, *up, true);
             }
         }
     }
@@ -694,7 +684,6 @@
             v.link.total = (set_.weighted ? entry.weight : 1) * set_.weight_kb;
             v.streams.total = entry.kind < int(set_.kind_streams.size()) ? set_.kind_streams[entry.kind] : 0;
             uplinks_[rack(v)].total = set_.rack_kb;
-            for (Account* a : {&v.link, &uplinks_[rack(v)]}) a->marked_at = std::min(a->marked_at, now_);
         }
     }
 
