--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -190,6 +190,11 @@
         v.streams.set_own(now_, streams);
     }
 
+    // Sessions handed over played before we knew of them: reports from then hold them too.
+    void forget_past(Server& v) {
+        for (Account* a : {&v.streams, &v.link, &uplinks_[rack(v)]}) a->past.clear();
+    }
+
     void learn(Server& v, const LoadReport& report) {
         for (std::size_t k = 0; k < report.size() && k < set_.report_fields.size(); ++k) {
             const double value = report[k];
@@ -220,7 +225,8 @@
         if (e.kind == NoteKind::rung && it != sessions_.end() && v) {
             it->second.rung = std::clamp(static_cast<int>(e.value), 0, int(set_.rung_kb.size()) - 1);
             it->second.told = it->second.rung;
-            return recount(*v);
+            recount(*v);
+            return forget_past(*v);
         }
         if (!v || !(e.value >= 0)) return;
         Account& up = uplinks_[rack(*v)];
@@ -241,10 +247,11 @@
         if (e.outcome == Outcome::ended) learn(*v, e.report);
     }
 
-    // Probes go to the server whose report is oldest, as sessions come: where none come none are needed.
-    void probe() {
+    // Probes go to the server whose report is oldest, as sessions come: where none come none are needed. A new
+    // server brings one along: a director that has just started knows nothing of what the others ask for.
+    void probe(double credit) {
         if (!set_.probes || set_.report_fields.empty()) return;
-        probe_credit_ += kProbesPerSession;
+        probe_credit_ = std::min(probe_credit_ + credit, double(servers_.size()));
         while (probe_credit_ >= 1) {
             Server* oldest = nullptr;
             for (auto& [id, v] : servers_)
@@ -564,7 +571,7 @@
         s.worth = cls(s).worth * (over_share(q.tenant) ? set_.over_share_worth : 1);
         sessions_[q.id] = s;
         place(q.id);
-        probe();
+        probe(kProbesPerSession);
     }
 
     bool over_share(int tenant) {
@@ -594,7 +601,7 @@
         s.worth = cls(s).worth;
         sessions_[e.request.id] = s;
         if (cls(s).seats > 0) seats_[{s.request.title, s.request.cls}] += 1;
-        if (Server* v = server(e.server)) v->sessions.insert(e.request.id), recount(*v);
+        if (Server* v = server(e.server)) v->sessions.insert(e.request.id), recount(*v), forget_past(*v);
     }
 
     void on(const SessionStarted& e) {
@@ -672,6 +679,7 @@
         if (e.kind == ListKind::failed) return;
         if (e.kind != ListKind::changes)
             for (auto& [id, v] : servers_) v.listed = false;
+        int fresh = 0;
         for (const ServerEntry& entry : e.entries) {
             const auto [it, added] = servers_.try_emplace(entry.id);
             Server& v = it->second;
@@ -679,12 +687,14 @@
             if (e.kind == ListKind::saved) v.cold_since = now_;
             if (entry.last_start > v.entry.last_start)
                 v.cold_since = std::max(v.cold_since, entry.last_start);
+            fresh += added;
             v.entry = entry;
             v.listed = entry.state != ServerState::gone;
             v.link.total = (set_.weighted ? entry.weight : 1) * set_.weight_kb;
             v.streams.total = entry.kind < int(set_.kind_streams.size()) ? set_.kind_streams[entry.kind] : 0;
             uplinks_[rack(v)].total = set_.rack_kb;
         }
+        probe(fresh);
     }
 
     Settings set_;
