--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -247,11 +247,10 @@
         if (e.outcome == Outcome::ended) learn(*v, e.report);
     }
 
-    // Probes go to the server whose report is oldest, as sessions come: where none come none are needed. A new
-    // server brings one along: a director that has just started knows nothing of what the others ask for.
-    void probe(double credit) {
+    // Probes go to the server whose report is oldest, as sessions come: where none come none are needed.
+    void probe() {
         if (!set_.probes || set_.report_fields.empty()) return;
-        probe_credit_ = std::min(probe_credit_ + credit, double(servers_.size()));
+        probe_credit_ += kProbesPerSession;
         while (probe_credit_ >= 1) {
             Server* oldest = nullptr;
             for (auto& [id, v] : servers_)
@@ -571,7 +570,7 @@
         s.worth = cls(s).worth * (over_share(q.tenant) ? set_.over_share_worth : 1);
         sessions_[q.id] = s;
         place(q.id);
-        probe(kProbesPerSession);
+        probe();
     }
 
     bool over_share(int tenant) {
@@ -679,22 +678,19 @@
         if (e.kind == ListKind::failed) return;
         if (e.kind != ListKind::changes)
             for (auto& [id, v] : servers_) v.listed = false;
-        int fresh = 0;
         for (const ServerEntry& entry : e.entries) {
-            const auto [it, added] = servers_.try_emplace(entry.id);
+            const auto it = servers_.try_emplace(entry.id).first;
             Server& v = it->second;
             // A saved list may be old: any server on it may have started since, so all are paced as cold.
             if (e.kind == ListKind::saved) v.cold_since = now_;
             if (entry.last_start > v.entry.last_start)
                 v.cold_since = std::max(v.cold_since, entry.last_start);
-            fresh += added;
             v.entry = entry;
             v.listed = entry.state != ServerState::gone;
             v.link.total = (set_.weighted ? entry.weight : 1) * set_.weight_kb;
             v.streams.total = entry.kind < int(set_.kind_streams.size()) ? set_.kind_streams[entry.kind] : 0;
             uplinks_[rack(v)].total = set_.rack_kb;
         }
-        probe(fresh);
     }
 
     Settings set_;
