A rise may span several rungs: the design's once in thirty seconds bounds changes, not rungs

Holds wherever room comes back at once; it could hurt where the account is far too low, since a whole rise is then too much.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -63,6 +63,8 @@
 constexpr double kOverShare = 1.3;
 // A drop to make room must cost less than this part of what it wins: the change itself costs.
 constexpr double kSwapGain = 0.8;
+// Rungs are looked at this often where no news comes; they only rise then.
+constexpr Time kLook = 2000;
 // The module looks at holds and rungs this often.
 constexpr Time kTick = 20;
 
@@ -117,6 +119,7 @@
     bool broke = false;
     // Reports.
     Time probed = kNever;
+    Time looked = kNever;  // when rungs were last looked at
     bool news = false;
 };
 
@@ -470,7 +473,7 @@
                 if (o.request.title != s.request.title || o.request.cls != s.request.cls || o.rung != s.rung)
                     continue;
                 able = able && !o.answered && o.state == Session::State::playing && one.to >= cls(o).floor &&
-                       one.to <= top(o) && (by < 0 || now_ - o.risen >= kRiseEvery);
+                       one.to <= top(o) && (by < 0 || now_ - o.risen >= kRiseEvery || now_ == o.risen);
                 worth += o.worth;
                 one.members.push_back(other);
             }
@@ -502,9 +505,11 @@
 
     // On news, own rates go towards the mark in proportion: if all directors do so the whole meets it.
     void regulate(Server& v) {
+        const bool news = v.news;
         v.news = false;
+        v.looked = now_;
         const double now_used = use(v);
-        if (now_used > kMark + kFallOver) {
+        if (news && now_used > kMark + kFallOver) {
             lower(v, v.link.own * (1 - kMark / now_used), std::numeric_limits<double>::infinity());
         } else if (now_used < kMark - kRiseUnder && now_ >= v.rest_until) {
             double kb = v.link.own * (kMark / std::max(now_used, 0.1) - 1);
@@ -659,7 +664,7 @@
         for (const auto& [taken, id] : order)
             if (held_.count(id)) place(id);
         for (auto& [id, v] : servers_)
-            if (v.news && v.listed) regulate(v);
+            if (v.listed && (v.news || now_ >= v.looked + kLook)) regulate(v);
         // Several steps of one session between two looks are one change: each change costs.
         for (const SessionId id : changed_) {
             const auto it = sessions_.find(id);
