--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -33,6 +33,8 @@
 constexpr double kRoomPart = 0.2;
 // Rungs move only when use is off the mark by more than the noise of one smoothed report.
 constexpr double kFallOver = 0.08, kRiseUnder = 0.2;
+// Without news, others may have risen on the same old word: only a link this far under the mark is used.
+constexpr double kRiseUnheard = 0.5;
 // One report moves the estimate of the others' load by this part: reports are noisy.
 constexpr double kGain = 0.4;
 // A report describes a server this long ago: half a usual refresh period and the way.
@@ -511,7 +513,7 @@
         const double now_used = use(v);
         if (news && now_used > kMark + kFallOver) {
             lower(v, v.link.own * (1 - kMark / now_used), std::numeric_limits<double>::infinity());
-        } else if (now_used < kMark - kRiseUnder && now_ >= v.rest_until) {
+        } else if (now_used < kMark - (news ? kRiseUnder : kRiseUnheard) && now_ >= v.rest_until) {
             double kb = v.link.own * (kMark / std::max(now_used, 0.1) - 1);
             while (const auto up = step(v, +1)) {
                 if (up->kb > kb || up->kb > room(v)) break;
