--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -62,7 +62,7 @@
 constexpr double kProbesPerSession = 0.5;
 // Tenants' requests are counted over this window; over share means so far above the quota.
 constexpr Time kShareWindow = 5000;
-constexpr double kOverShare = 1.3;
+constexpr double kOverShare = 1.0;
 // A drop to make room must cost less than this part of what it wins: the change itself costs.
 constexpr double kSwapGain = 0.8;
 // Rungs are looked at this often where no news comes; they only rise then.
