--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -62,7 +62,7 @@
 constexpr double kProbesPerSession = 0.5;
 // Tenants' requests are counted over this window; over share means so far above the quota.
 constexpr Time kShareWindow = 5000;
-constexpr double kOverShare = 1.0;
+constexpr double kOverShare = 1e9;
 // A drop to make room must cost less than this part of what it wins: the change itself costs.
 constexpr double kSwapGain = 0.8;
 // Rungs are looked at this often where no news comes; they only rise then.
@@ -372,9 +372,7 @@
             const Time last = aim(s) - kSetUp;
             if (!best && now_ >= last) best = roomiest;
             if (best) {
-                // Over its tenant's share: worth a fraction, so it gets only what would lie idle.
-                const bool idle = s.worth >= cls(s).worth || use(*best) < kPacedFrom;
-                const int rung = idle ? rung_for(*best, s) : -1;
+                const int rung = rung_for(*best, s);
                 if (rung >= 0) return send(id, *best, rung, true);
             } else if (soonest < last) {
                 s.state = Session::State::held;
