--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -61,8 +61,8 @@
 // Probes for each session taken: few, since they are paid for by the session.
 constexpr double kProbesPerSession = 0.5;
 // Tenants' requests are counted over this window; over share means so far above the quota.
-constexpr Time kShareWindow = 5000;
-constexpr double kOverShare = 1e9;
+constexpr Time kShareWindow = 5000, kRemember = 60000;
+constexpr double kOverShare = 1.2;
 // A drop to make room must cost less than this part of what it wins: the change itself costs.
 constexpr double kSwapGain = 0.8;
 // Rungs are looked at this often where no news comes; they only rise then.
@@ -574,19 +574,28 @@
         Session s;
         s.request = q;
         s.taken = now_;
-        s.worth = cls(s).worth * (over_share(q.tenant) ? set_.over_share_worth : 1);
+        s.worth = cls(s).worth * (over_share(q) ? set_.over_share_worth : 1);
         sessions_[q.id] = s;
         place(q.id);
         probe();
     }
 
-    bool over_share(int tenant) {
-        if (tenant >= int(set_.tenants.size()) || set_.tenants[tenant].quota_per_s <= 0) return false;
-        auto& times = tenants_[tenant];
-        times.push_back(now_);
-        while (times.front() < now_ - kShareWindow) times.pop_front();
-        const double quota = set_.tenants[tenant].quota_per_s * kShareWindow / 1000 / set_.directors;
-        return times.size() > kOverShare * quota + 2;
+    // Each viewer counts once and keeps its verdict: those who come again after a refusal are no new demand.
+    bool over_share(const SessionRequest& q) {
+        if (q.tenant >= int(set_.tenants.size()) || set_.tenants[q.tenant].quota_per_s <= 0) return false;
+        while (!viewers_.empty() && viewers_.front().first < now_ - kRemember) {
+            verdicts_.erase(viewers_.front().second);
+            viewers_.pop_front();
+        }
+        const auto [verdict, unseen] = verdicts_.try_emplace(q.viewer, false);
+        if (!unseen) return verdict->second;
+        viewers_.emplace_back(now_, q.viewer);
+        auto& times = tenants_[q.tenant];
+        while (!times.empty() && times.front() < now_ - kShareWindow) times.pop_front();
+        const double part = set_.tenants[q.tenant].quota_per_s * kShareWindow / 1000 / set_.directors;
+        verdict->second = times.size() >= kOverShare * part + 2;
+        if (!verdict->second) times.push_back(now_);
+        return verdict->second;
     }
 
     void on(const SessionAdopted& e) {
@@ -709,7 +718,9 @@
     std::map<SessionId, Session> sessions_;
     std::set<SessionId> held_, changed_;
     std::map<std::pair<TitleId, int>, int> seats_;
-    std::map<int, std::deque<Time>> tenants_;
+    std::map<int, std::deque<Time>> tenants_;  // sessions taken within the share
+    std::deque<std::pair<Time, std::uint64_t>> viewers_;
+    std::map<std::uint64_t, bool> verdicts_;
     std::deque<Time> requests_, repeats_;  // for the budget of further attempts
     double hint_sum_ = 0, hints_ = 0, probe_credit_ = 0;
     bool adopting_ = false;
