--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -372,7 +372,9 @@
             const Time last = aim(s) - kSetUp;
             if (!best && now_ >= last) best = roomiest;
             if (best) {
-                const int rung = rung_for(*best, s);
+                // Over its tenant's share: worth a fraction, so it gets only what would lie idle.
+                const bool idle = s.worth >= cls(s).worth || use(*best) < kPacedFrom;
+                const int rung = idle ? rung_for(*best, s) : -1;
                 if (rung >= 0) return send(id, *best, rung, true);
             } else if (soonest < last) {
                 s.state = Session::State::held;
