--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -27,6 +27,8 @@
 constexpr Time kRiseEvery = 30000;
 // Links and uplinks are filled up to here: true rates and reports stray, and 1% short costs many points.
 constexpr double kMark = 0.95;
+// Up to its best-earning rung a new session may use a link to here: refusing it would lose more.
+constexpr double kFull = 1.0;
 // A new session starts above the rung that earns most for its rate only where that takes no more than this
 // part of the room left: worth grows ever slower with rate, so equal rungs earn most, and a later step down
 // costs more than a later step up wins.
@@ -327,13 +329,13 @@
     }
 
     // Kilobytes a second that the server's link and its rack's uplink still have under the mark.
-    double link_room(const Server& v) const {
-        return (kMark - v.link.use(now_, set_.directors)) * v.link.total;
+    double link_room(const Server& v, double mark) const {
+        return (mark - v.link.use(now_, set_.directors)) * v.link.total;
     }
-    double room(Server& v) {
+    double room(Server& v, double mark = kMark) {
         Account& up = uplinks_[rack(v)];
-        const double link = link_room(v);
-        return up.total > 0 ? std::min(link, (kMark - up.use(now_, set_.directors)) * up.total) : link;
+        const double link = link_room(v, mark);
+        return up.total > 0 ? std::min(link, (mark - up.use(now_, set_.directors)) * up.total) : link;
     }
 
     double value(Server& v, const Session& s) {
@@ -372,9 +374,7 @@
             const Time last = aim(s) - kSetUp;
             if (!best && now_ >= last) best = roomiest;
             if (best) {
-                // Over its tenant's share: worth a fraction, so it gets only what would lie idle.
-                const bool idle = s.worth >= cls(s).worth || use(*best) < kPacedFrom;
-                const int rung = idle ? rung_for(*best, s) : -1;
+                const int rung = rung_for(*best, s);
                 if (rung >= 0) return send(id, *best, rung, true);
             } else if (soonest < last) {
                 s.state = Session::State::held;
@@ -444,15 +444,16 @@
             if (density(s, -1, r) > density(s, -1, best)) best = r;
         // Where the uplink is what is short, sessions on all servers of the rack can make room.
         const double price = density(s, -1, best) * kSwapGain;
-        if (const double lack = rate(s, best) - room(v); lack > 0) lower(v, lack, price);
+        if (const double lack = rate(s, best) - room(v, kFull); lack > 0) lower(v, lack, price);
         for (auto& [id, other] : servers_) {
-            if (rack(other) != rack(v) || link_room(v) < rate(s, best)) continue;
-            if (const double lack = rate(s, best) - room(v); lack > 0) lower(other, lack, price);
+            if (rack(other) != rack(v) || link_room(v, kFull) < rate(s, best)) continue;
+            if (const double lack = rate(s, best) - room(v, kFull); lack > 0) lower(other, lack, price);
         }
-        const double left = room(v);
         int rung = -1;
-        for (int r = cls(s).floor; r <= top(s) && rate(s, r) <= left * (r > best ? kRoomPart : 1); ++r)
+        for (int r = cls(s).floor; r <= top(s); ++r) {
+            if (rate(s, r) > (r > best ? kRoomPart * room(v) : room(v, kFull))) break;
             rung = r;
+        }
         return rung;
     }
 
