--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -28,7 +28,7 @@
 // Links and uplinks are filled up to here: true rates and reports stray, and 1% short costs many points.
 constexpr double kMark = 0.95;
 // Up to its best-earning rung a new session may use a link to here: refusing it would lose more.
-constexpr double kFull = 1.0;
+constexpr double kFull = 0.9;
 // A new session starts above the rung that earns most for its rate only where that takes no more than this
 // part of the room left: worth grows ever slower with rate, so equal rungs earn most, and a later step down
 // costs more than a later step up wins.
