Falls wait for word of the last fall

Holds against any late or repeated report; hurts where a link goes on shrinking: each step then waits about two seconds.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -27,8 +27,6 @@
 constexpr Time kRiseEvery = 30000;
 // Links and uplinks are filled up to here: true rates and reports stray, and 1% short costs many points.
 constexpr double kMark = 0.95;
-// Up to its best-earning rung a new session may use a link to here: refusing it would lose more.
-constexpr double kFull = 0.9;
 // A new session starts above the rung that earns most for its rate only where that takes no more than this
 // part of the room left: worth grows ever slower with rate, so equal rungs earn most, and a later step down
 // costs more than a later step up wins.
@@ -67,6 +65,8 @@
 constexpr double kOverShare = 1.2;
 // A drop to make room must cost less than this part of what it wins: the change itself costs.
 constexpr double kSwapGain = 0.8;
+// All directors fall on the same word, and word of that comes late: the next fall waits for it, and so long.
+constexpr Time kSettle = 1000;
 // Rungs are looked at this often where no news comes; they only rise then.
 constexpr Time kLook = 2000;
 // The module looks at holds and rungs this often.
@@ -123,7 +123,7 @@
     bool broke = false;
     // Reports.
     Time probed = kNever;
-    Time looked = kNever;  // when rungs were last looked at
+    Time looked = kNever, fell = kNever;  // when rungs were last looked at, and last fell
     bool news = false;
 };
 
@@ -329,13 +329,13 @@
     }
 
     // Kilobytes a second that the server's link and its rack's uplink still have under the mark.
-    double link_room(const Server& v, double mark) const {
-        return (mark - v.link.use(now_, set_.directors)) * v.link.total;
+    double link_room(const Server& v) const {
+        return (kMark - v.link.use(now_, set_.directors)) * v.link.total;
     }
-    double room(Server& v, double mark = kMark) {
+    double room(Server& v) {
         Account& up = uplinks_[rack(v)];
-        const double link = link_room(v, mark);
-        return up.total > 0 ? std::min(link, (mark - up.use(now_, set_.directors)) * up.total) : link;
+        const double link = link_room(v);
+        return up.total > 0 ? std::min(link, (kMark - up.use(now_, set_.directors)) * up.total) : link;
     }
 
     double value(Server& v, const Session& s) {
@@ -444,16 +444,15 @@
             if (density(s, -1, r) > density(s, -1, best)) best = r;
         // Where the uplink is what is short, sessions on all servers of the rack can make room.
         const double price = density(s, -1, best) * kSwapGain;
-        if (const double lack = rate(s, best) - room(v, kFull); lack > 0) lower(v, lack, price);
+        if (const double lack = rate(s, best) - room(v); lack > 0) lower(v, lack, price);
         for (auto& [id, other] : servers_) {
-            if (rack(other) != rack(v) || link_room(v, kFull) < rate(s, best)) continue;
-            if (const double lack = rate(s, best) - room(v, kFull); lack > 0) lower(other, lack, price);
+            if (rack(other) != rack(v) || link_room(v) < rate(s, best)) continue;
+            if (const double lack = rate(s, best) - room(v); lack > 0) lower(other, lack, price);
         }
+        const double left = room(v);
         int rung = -1;
-        for (int r = cls(s).floor; r <= top(s); ++r) {
-            if (rate(s, r) > (r > best ? kRoomPart * room(v) : room(v, kFull))) break;
+        for (int r = cls(s).floor; r <= top(s) && rate(s, r) <= left * (r > best ? kRoomPart : 1); ++r)
             rung = r;
-        }
         return rung;
     }
 
@@ -515,6 +514,8 @@
         v.looked = now_;
         const double now_used = use(v);
         if (news && now_used > kMark + kFallOver) {
+            if (now_ < v.fell + set_.notes_late + kSettle) return;
+            v.fell = now_;
             lower(v, v.link.own * (1 - kMark / now_used), std::numeric_limits<double>::infinity());
         } else if (now_used < kMark - (news ? kRiseUnder : kRiseUnheard) && now_ >= v.rest_until) {
             double kb = v.link.own * (kMark / std::max(now_used, 0.1) - 1);
--- a/tests/bench_free.hpp
+++ b/tests/bench_free.hpp
@@ -98,14 +98,15 @@
         }
         feed(ServerList{kind, entries});
     }
-    SessionId ask(int cls, TitleId title = 1, int tenant = 0) {
+    SessionId ask(int cls, TitleId title = 1, int tenant = 0, std::uint64_t viewer = 0, bool held = true) {
         SessionRequest q;
         q.id = ++next_id_;
         q.cls = cls;
         q.tenant = tenant;
         q.title = title;
         q.deadline = now + set.classes[cls].patience;
-        q.cell_count = set.cells;
+        q.cell_count = held ? set.cells : 0;
+        q.viewer = viewer;
         q.top_rung = int(set.rung_kb.size()) - 1;
         sessions[q.id].q = q;
         taken.push_back(now);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -197,6 +197,134 @@
     EXPECT_GT(after, low);
 }
 
+int rungs_of(Watch& w, const std::vector<SessionId>& ids) {
+    int sum = 0;
+    for (const SessionId id : ids) sum += w.sessions.at(id).rung;
+    return sum;
+}
+
+TEST(Rungs, OneFallWaitsForWordOfTheLast) {
+    Settings set = small_site();
+    Watch w = warm(set, 1);
+    std::vector<SessionId> ids;
+    for (int k = 0; k < 5; ++k) {
+        ids.push_back(900 + k);
+        w.adopt(ids.back(), 1, 100, k, 3);
+    }
+    const SessionNote word{ids[0], 0, 100, NoteKind::delivered_share, 0.8};
+    w.feed(word);
+    w.pass(60);
+    const int once = rungs_of(w, ids);
+    EXPECT_LT(once, 15);
+    w.pass(200);
+    w.feed(word);
+    w.pass(60);
+    EXPECT_EQ(rungs_of(w, ids), once);
+    w.pass(2000);
+    w.feed(word);
+    w.pass(60);
+    EXPECT_LT(rungs_of(w, ids), once);
+}
+
+TEST(Rungs, ARiseSpansSeveralRungsButComesOnceInThirtySeconds) {
+    Settings set = small_site();
+    set.directors = 1;
+    Watch w = warm(set, 1);
+    w.adopt(900, 1, 100, 1, 0);
+    w.pass(2500);
+    const int first = w.sessions.at(900).rung;
+    EXPECT_GE(first, 2);
+    w.feed(ProbeAnswered{100, Outcome::ended, 1, {1, 0.05f, 0.05f}});
+    w.pass(5000);
+    EXPECT_EQ(w.sessions.at(900).rung, first);
+}
+
+TEST(Rungs, NewSessionsLeaveRoomForThoseToCome) {
+    Settings set = small_site();
+    set.directors = 1;
+    set.weight_kb = 3000;
+    Watch w = warm(set, 1);
+    const SessionId id = w.ask(1, 1);
+    ASSERT_TRUE(w.sent(id));
+    EXPECT_LT(w.sessions.at(id).rung, 4);
+}
+
+TEST(Rungs, OwnSessionsStepDownBeforeANewOneIsRefused) {
+    Settings set = small_site();
+    set.directors = 1;
+    set.weight_kb = 3300;
+    Watch w = warm(set, 1);
+    w.adopt(900, 1, 100, 1, 4);
+    w.adopt(901, 1, 100, 2, 4);
+    const SessionId id = w.ask(1, 3);
+    EXPECT_TRUE(w.sent(id));
+    w.pass(30);
+    EXPECT_LT(w.sessions.at(900).rung + w.sessions.at(901).rung, 8);
+}
+
+TEST(Account, SessionsHandedOverAreNotCountedTwice) {
+    Settings set = small_site();
+    set.directors = 2;
+    Watch w = warm(set, 1);
+    for (int k = 0; k < 4; ++k) w.adopt(900 + k, 1, 100, k, 3);
+    w.feed(ProbeAnswered{100, Outcome::ended, 1, {4, 0.4f, 0.17f}});  // all of it is ours
+    const SessionId id = w.ask(1, 9);
+    EXPECT_EQ(w.sessions.at(id).rung, 3);
+}
+
+// Own sessions step down for a viewer inside its tenant's share, not for one over it.
+TEST(Share, EachViewerCountsOnce) {
+    for (const bool same : {true, false}) {
+        Settings set = small_site();
+        set.tenants = {{"a", 0.2, 1}};
+        set.over_share_worth = 0.1;
+        set.directors = 1;
+        set.weight_kb = 3300;
+        Watch w = warm(set, 1);
+        w.adopt(900, 1, 100, 1, 4);
+        w.adopt(901, 1, 100, 2, 4);
+        for (int k = 1; k <= 10; ++k) w.ask(1, 50, 0, same ? 1 : k, false);  // no holder: refused
+        EXPECT_EQ(w.sent(w.ask(1, 3, 0, same ? 1 : 11)), same);
+    }
+}
+
+TEST(Health, ResetServerIsRestedAndItsReturnPaced) {
+    Watch w = warm(small_site(), 2);
+    w.pass(20000);
+    SessionId id = w.ask(1, 1);
+    const ServerId broken = w.sessions.at(id).server;
+    w.over(id, Outcome::reset, false);
+    EXPECT_NE(w.sessions.at(id).server, broken);
+    w.pass(100);
+    for (int k = 0; k < 5; ++k) {
+        id = w.ask(1, 10 + k);
+        if (w.sent(id)) {
+            EXPECT_NE(w.sessions.at(id).server, broken);
+        }
+    }
+}
+
+TEST(Health, PaidSessionsAvoidAServerWithAnOverdueAnswer) {
+    Watch w = warm(small_site(), 2);
+    const SessionId first = w.ask(0, 1);
+    const ServerId slow = w.sessions.at(first).server;
+    w.pass(600);
+    for (int k = 0; k < 4; ++k) {
+        const SessionId id = w.ask(0, 10 + k);
+        ASSERT_TRUE(w.sent(id));
+        EXPECT_NE(w.sessions.at(id).server, slow);
+        w.start(id);
+    }
+}
+
+TEST(Reports, NoneOrNonsenseIsSafe) {
+    Watch w = warm(small_site());
+    w.feed(ProbeAnswered{100, Outcome::ended, 1, {NAN, -5.f, INFINITY, 7.f}});
+    w.feed(ProbeAnswered{100, Outcome::timed_out, 250, {}});
+    w.feed(SessionNote{1, 0, 100, NoteKind::delivered_share, 0.0});
+    EXPECT_TRUE(w.sent(w.ask(1, 1)));
+}
+
 TEST(Sequences, SameEventsGiveSameActions) {
     auto play = [] {
         Watch w = warm(small_site());
