--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -34,7 +34,7 @@
 // Rungs move only when use is off the mark by more than the noise of one smoothed report.
 constexpr double kFallOver = 0.08, kRiseUnder = 0.2;
 // Without news, others may have risen on the same old word: only a link this far under the mark is used.
-constexpr double kRiseUnheard = 0.5;
+constexpr double kRiseUnheard = 0.35;
 // One report moves the estimate of the others' load by this part: reports are noisy.
 constexpr double kGain = 0.4;
 // A report describes a server this long ago: half a usual refresh period and the way.
