--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -34,7 +34,7 @@
 // Rungs move only when use is off the mark by more than the noise of one smoothed report.
 constexpr double kFallOver = 0.08, kRiseUnder = 0.2;
 // Without news, others may have risen on the same old word: only a link this far under the mark is used.
-constexpr double kRiseUnheard = 0.35;
+constexpr double kRiseUnheard = 0.5;
 // One report moves the estimate of the others' load by this part: reports are noisy.
 constexpr double kGain = 0.4;
 // A report describes a server this long ago: half a usual refresh period and the way.
@@ -56,6 +56,9 @@
 constexpr Time kFullRest = 1000;
 // Share of failed set-ups at which a server gets no paid session; weight of one outcome in that share.
 constexpr double kFailing = 0.15, kFailGain = 0.3;
+// A success forgives less than a failure adds, and failures weigh double in the choice of a server: one that
+// fails fast is idle and would draw everything.
+constexpr double kFailEase = 0.1, kFailCost = 2;
 // Part of the bearable pace that all directors together send to a cold server: the rest is for chance.
 constexpr double kColdPart = 0.5;
 // Probes for each session taken: few, since they are paid for by the session.
@@ -343,7 +346,7 @@
         if (v.entry.zone != set_.zone) value -= set_.cross_zone_price * 5;
         // A doubtful server that has rested is tested by one session that may be sent again.
         if (v.strikes > 0 && cls(s).repeat == Repeat::harmless && s.attempts == 0) return 2;
-        value -= v.failing + kStrikeCost * v.strikes + (s.tried.count(v.entry.id) ? 1 : 0);
+        value -= kFailCost * v.failing + kStrikeCost * v.strikes + (s.tried.count(v.entry.id) ? 1 : 0);
         return value + std::uniform_real_distribution<double>(0, 0.02)(random_);
     }
 
@@ -626,7 +629,7 @@
     void on(const SessionStarted& e) {
         if (Server* v = server(e.server)) {
             answered(*v);
-            v->failing *= 1 - kFailGain;
+            v->failing *= 1 - kFailEase;
         }
         const auto it = sessions_.find(e.id);
         if (it != sessions_.end()) it->second.state = Session::State::playing;
