--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -65,7 +65,7 @@
 constexpr double kProbesPerSession = 0.5;
 // Tenants' requests are counted over this window; over share means so far above the quota.
 constexpr Time kShareWindow = 5000, kRemember = 60000;
-constexpr double kOverShare = 1.2;
+constexpr double kOverShare = 2.0;
 // A drop to make room must cost less than this part of what it wins: the change itself costs.
 constexpr double kSwapGain = 0.8;
 // All directors fall on the same word, and word of that comes late: the next fall waits for it, and so long.
@@ -377,7 +377,9 @@
             const Time last = aim(s) - kSetUp;
             if (!best && now_ >= last) best = roomiest;
             if (best) {
-                const int rung = rung_for(*best, s);
+                // Over its tenant's share: worth a fraction, so it gets only what would lie idle.
+                const bool idle = s.worth >= cls(s).worth || use(*best) < kPacedFrom;
+                const int rung = idle ? rung_for(*best, s) : -1;
                 if (rung >= 0) return send(id, *best, rung, true);
             } else if (soonest < last) {
                 s.state = Session::State::held;
@@ -621,6 +623,7 @@
         s.attempts = 1;
         s.rung = cls(s).floor;
         s.worth = cls(s).worth;
+        if (verdicts_.try_emplace(e.request.viewer, false).second) viewers_.emplace_back(now_, e.request.viewer);
         sessions_[e.request.id] = s;
         if (cls(s).seats > 0) seats_[{s.request.title, s.request.cls}] += 1;
         if (Server* v = server(e.server)) v->sessions.insert(e.request.id), recount(*v), forget_past(*v);
