--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,5 +1,5 @@
-// The decision module of ivyfield. Its interface (settings, events, actions) is
-// include/ivyfield/director.hpp. The mechanism is the pure rate control of Almeroth et al., section 5.1;
+// The decision module of ivyfield; its interface (settings, events, actions) is
+// include/ivyfield/director.hpp. The mechanism is the pure rate control of Almeroth et al., 5.1;
 // docs/design.md says what was added.
 #include <algorithm>
 #include <cmath>
@@ -15,8 +15,7 @@
 
 namespace {
 
-// ---- Constants, each with its reason
-// -----------------------------------------------------------------------
+// ---- Constants, each with its reason ----
 
 constexpr Time kNever = -1e18, kAlways = 1e18;
 // The design: grants go unpaced while a server is counted under this part of its streams and link.
@@ -65,7 +64,7 @@
 constexpr double kProbesPerSession = 0.5;
 // Tenants' requests are counted over this window; over share means so far above the quota.
 constexpr Time kShareWindow = 5000, kRemember = 60000;
-constexpr double kOverShare = 2.0;
+constexpr double kOverShare = 1.2;
 // A drop to make room must cost less than this part of what it wins: the change itself costs.
 constexpr double kSwapGain = 0.8;
 // All directors fall on the same word, and word of that comes late: the next fall waits for it, and so long.
@@ -75,8 +74,7 @@
 // The module looks at holds and rungs this often.
 constexpr Time kTick = 20;
 
-// ---- Account
-// -----------------------------------------------------------------------------------------------
+// ---- Account ----
 
 // Use of one shared thing (a server's streams, a link, an uplink): own part counted, the others' estimated.
 struct Account {
@@ -273,8 +271,7 @@
         }
     }
 
-    // ---- Clock
-    // ---------------------------------------------------------------------------------------------
+    // ---- Clock ----
 
     Time view() const { return hints_ > 0 ? hint_sum_ / hints_ : kUsualView; }
 
@@ -302,8 +299,7 @@
         v.next_cold = now_ + 1 / pace;
     }
 
-    // ---- Holds and the choice of a server
-    // -------------------------------------------------------------------
+    // ---- Holds and the choice of a server ----
 
     bool holds_title(const Server& v, const SessionRequest& q) const {
         if (set_.cells <= 0) return true;
@@ -377,9 +373,7 @@
             const Time last = aim(s) - kSetUp;
             if (!best && now_ >= last) best = roomiest;
             if (best) {
-                // Over its tenant's share: worth a fraction, so it gets only what would lie idle.
-                const bool idle = s.worth >= cls(s).worth || use(*best) < kPacedFrom;
-                const int rung = idle ? rung_for(*best, s) : -1;
+                const int rung = rung_for(*best, s);
                 if (rung >= 0) return send(id, *best, rung, true);
             } else if (soonest < last) {
                 s.state = Session::State::held;
@@ -432,8 +426,7 @@
         act(Send{id, v.entry.id, expires});
     }
 
-    // ---- Rungs
-    // ---------------------------------------------------------------------------------------------
+    // ---- Rungs ----
 
     // Worth a second won for each kB a second in going from one rung to another (from -1: from nothing).
     double density(const Session& s, int from, int to) const {
@@ -532,8 +525,7 @@
         }
     }
 
-    // ---- Health
-    // --------------------------------------------------------------------------------------------
+    // ---- Health ----
 
     void answered(Server& v) {
         if (v.broke || v.strikes > 1) v.cold_since = now_;  // it may have started anew
@@ -549,8 +541,7 @@
         v.rest_until = now_ + std::min(kLongestRest, kRest * std::pow(2, std::min(v.strikes, 6)));
     }
 
-    // ---- Attempts and answers
-    // ------------------------------------------------------------------------------
+    // ---- Attempts and answers ----
 
     bool budget_left(int more) {
         if (!set_.budget) return true;
@@ -623,7 +614,6 @@
         s.attempts = 1;
         s.rung = cls(s).floor;
         s.worth = cls(s).worth;
-        if (verdicts_.try_emplace(e.request.viewer, false).second) viewers_.emplace_back(now_, e.request.viewer);
         sessions_[e.request.id] = s;
         if (cls(s).seats > 0) seats_[{s.request.title, s.request.cls}] += 1;
         if (Server* v = server(e.server)) v->sessions.insert(e.request.id), recount(*v), forget_past(*v);
@@ -697,8 +687,7 @@
         if (set_.list_on_request && now_ - asked_ > set_.ask_within / 3) act(FetchList{}), asked_ = now_;
     }
 
-    // ---- Membership
-    // ----------------------------------------------------------------------------------------
+    // ---- Membership ----
 
     void on(const ServerList& e) {
         if (e.kind == ListKind::failed) return;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -304,6 +304,28 @@
     }
 }
 
+TEST(Health, ServerThatFailsFastDoesNotDrawSessions) {
+    Watch w = warm(small_site(), 2);
+    w.pass(20000);
+    int at_failing = 0;
+    for (int k = 0; k < 40; ++k) {
+        const SessionId id = w.ask(1, 10 + k);
+        while (w.sent(id)) {
+            if (w.sessions.at(id).server == 101) {
+                w.start(id);
+                w.over(id, Outcome::ended, true);
+            } else {
+                ++at_failing;
+                w.over(id, Outcome::error, false);
+            }
+        }
+        w.pass(500);
+    }
+    EXPECT_LE(at_failing, 5);
+    EXPECT_TRUE(w.sent(w.ask(0, 99)));
+    EXPECT_EQ(w.sessions.rbegin()->second.server, 101u);
+}
+
 TEST(Health, PaidSessionsAvoidAServerWithAnOverdueAnswer) {
     Watch w = warm(small_site(), 2);
     const SessionId first = w.ask(0, 1);
