--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -29,7 +29,7 @@
 // A new session starts above the rung that earns most for its rate only where that takes no more than this
 // part of the room left: worth grows ever slower with rate, so equal rungs earn most, and a later step down
 // costs more than a later step up wins.
-constexpr double kRoomPart = 0.2, kRoomPartUnpaced = 0.33;  // the latter while grants are unpaced
+constexpr double kRoomPart = 0.2;
 // Rungs move only when use is off the mark by more than the noise of one smoothed report.
 constexpr double kFallOver = 0.08, kRiseUnder = 0.2;
 // Without news, others may have risen on the same old word: only a link this far under the mark is used.
@@ -447,9 +447,9 @@
             if (rack(other) != rack(v) || link_room(v) < rate(s, best)) continue;
             if (const double lack = rate(s, best) - room(v); lack > 0) lower(other, lack, price);
         }
-        const double left = room(v), part = use(v) < kPacedFrom ? kRoomPartUnpaced : kRoomPart;
+        const double left = room(v);
         int rung = -1;
-        for (int r = cls(s).floor; r <= top(s) && rate(s, r) <= left * (r > best ? part : 1); ++r)
+        for (int r = cls(s).floor; r <= top(s) && rate(s, r) <= left * (r > best ? kRoomPart : 1); ++r)
             rung = r;
         return rung;
     }
