--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -354,16 +354,14 @@
             return give_up(id);
         for (const bool strict : {true, false}) {
             Server *best = nullptr, *roomiest = nullptr, *joined = nullptr;
-            double best_value = 0, most_room = 0, join_room = 0;
+            double best_value = 0, most_room = 0;
             int join_rung = -1;
             Time soonest = kAlways;
             for (auto& [sid, v] : servers_) {
                 if (!fit(v, s, strict)) continue;
                 const Time cold = cold_opens(v);
-                // Joins are free but not weightless: a crowd goes to the stream with most room, not to one.
-                if (const int rung = joinable(v, s);
-                    rung >= 0 && cold <= now_ && (!joined || room(v) > join_room))
-                    joined = &v, join_rung = rung, join_room = room(v);
+                if (const int rung = joinable(v, s); rung > join_rung && cold <= now_)
+                    joined = &v, join_rung = rung;
                 if (v.streams.total > 0 && v.streams.use(now_, set_.directors) >= 1) continue;
                 const Time open = std::max(opens(v), cold);
                 soonest = std::min(soonest, open);
@@ -399,7 +397,7 @@
                 o.rung >= cls(s).floor)
                 rung = std::max(rung, o.rung);
         }
-        return rung >= 0 && use(v) + set_.join_part * rate(s, rung) / v.link.total < 1 ? rung : -1;
+        return rung >= 0 && use(v) < kMark ? rung : -1;
     }
 
     void send(SessionId id, Server& v, int rung, bool grant) {
