--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -472,14 +472,15 @@
             bool able = true;
             for (const SessionId other : shares(s) ? v.sessions : std::set<SessionId>{id}) {
                 const Session& o = sessions_.at(other);
+                if (o.answered) continue;  // nobody waits for it any more
                 if (o.request.title != s.request.title || o.request.cls != s.request.cls || o.rung != s.rung)
                     continue;
-                able = able && !o.answered && o.state == Session::State::playing && one.to >= cls(o).floor &&
+                able = able && o.state != Session::State::held && one.to >= cls(o).floor &&
                        one.to <= top(o) && (by < 0 || now_ - o.risen >= kRiseEvery || now_ == o.risen);
                 worth += o.worth;
                 one.members.push_back(other);
             }
-            if (!able) continue;
+            if (!able || one.members.empty()) continue;
             const double unit = std::abs(rate(s, one.to) - rate(s, s.rung));
             one.kb = unit * (1 + set_.join_part * (one.members.size() - 1));
             one.density = worth * std::abs(set_.rung_worth[one.to] - set_.rung_worth[s.rung]) / one.kb;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -177,6 +177,22 @@
     EXPECT_EQ(used.size(), 1u);
 }
 
+// In a crowd on one live title some viewer is always in set-up.
+TEST(Join, ASharedStreamStepsDownWithAViewerInSetUp) {
+    Settings set = small_site();
+    set.join_part = 0.15;
+    set.classes[0].live = true;
+    set.directors = 1;
+    Watch w = warm(set, 1);
+    std::vector<SessionId> ids;
+    for (int k = 0; k < 4; ++k) ids.push_back(w.ask(0, 5));
+    for (int k = 0; k < 3; ++k) w.start(ids[k]);
+    const int before = w.sessions.at(ids[0]).rung;
+    w.feed(SessionNote{ids[0], 0, 100, NoteKind::delivered_share, 0.5});
+    w.pass(60);
+    for (const SessionId id : ids) EXPECT_LT(w.sessions.at(id).rung, before);
+}
+
 TEST(Rungs, ShortDeliveryStepsPlayingSessionsDownAndRoomBringsThemBack) {
     Settings set = small_site();
     set.directors = 1;
