--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -61,7 +61,7 @@
 // Part of the bearable pace that all directors together send to a cold server: the rest is for chance.
 constexpr double kColdPart = 0.5;
 // Probes for each session taken: few, since they are paid for by the session.
-constexpr double kProbesPerSession = 0.25;
+constexpr double kProbesPerSession = 0.5;
 // Tenants' requests are counted over this window; over share means so far above the quota.
 constexpr Time kShareWindow = 5000, kRemember = 60000;
 constexpr double kOverShare = 1.2;
