--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -281,7 +281,7 @@
         if (v.streams.use(now_, set_.directors) < kPacedFrom && use(v) < kPacedFrom) return kNever;
         const Time interval = std::max(kLeastInterval, view() / v.streams.total);
         if (now_ >= v.interval_end) v.interval_end = now_ + interval, v.granted = 0;
-        const double most = std::max(1.0, std::floor(interval * v.streams.total / view() / set_.directors));
+        const double most = std::max(1.0, std::floor(interval * v.streams.total / view()));
         if (v.granted >= most) return v.interval_end;
         return v.last_grant + (v.interval_end - now_) / (most - v.granted);
     }
