--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -71,7 +71,7 @@
 constexpr Time kSettle = 1000;
 // Rungs are looked at this often where no news comes; they only rise then.
 constexpr Time kLook = 2000;
-// The module looks at holds and rungs this often.
+// The module looks at holds and at news this often at most.
 constexpr Time kTick = 20;
 
 // ---- Account ----
@@ -151,8 +151,7 @@
         out_ = &actions;
         if (born_ == kNever) {
             born_ = now;
-            act(SetAlarm{0, now + kTick});
-            if (set_.list_on_request) act(FollowList{true}), asked_ = now;
+            if (set_.list_on_request) act(FollowList{true}), asked_ = now, wake(now);
         }
         std::visit([this](const auto& e) { on(e); }, event);
     }
@@ -163,6 +162,15 @@
         out_->emplace_back(std::in_place_type<A>, std::move(action));
     }
 
+    // Alarms cannot be unset: one is set only where none comes sooner. Idle directors sleep, large fleets
+    // would spend their time on alarms otherwise.
+    void wake(Time at) {
+        at = std::max(at, now_ + kTick);
+        if (at >= next_alarm_) return;
+        next_alarm_ = at;
+        act(SetAlarm{0, at});
+    }
+
     const ClassSettings& cls(const Session& s) const { return set_.classes[s.request.cls]; }
     bool shares(const Session& s) const { return cls(s).live && set_.join_part < 1; }
     double rate(const Session& s, int rung) const { return set_.rung_kb[rung] * cls(s).rate_part; }
@@ -196,6 +204,8 @@
         up.set_own(now_, up.own + kb - v.link.own);
         v.link.set_own(now_, kb);
         v.streams.set_own(now_, streams);
+        if (v.sessions.empty()) mine_.erase(v.entry.id);
+        else mine_.insert(v.entry.id), wake(now_ + kLook);
     }
 
     // Sessions handed over played before we knew of them: reports from then hold them too.
@@ -223,6 +233,7 @@
                     continue;
             }
             v.news = true;
+            wake(now_);
         }
     }
 
@@ -247,6 +258,7 @@
             up.learn(now_, e.value, set_.notes_late, kGain);
         }
         v->news = true;
+        wake(now_);
     }
 
     void on(const ProbeAnswered& e) {
@@ -378,7 +390,7 @@
             } else if (soonest < last) {
                 s.state = Session::State::held;
                 held_.insert(id);
-                return;
+                return wake(now_);
             } else if (soonest < kAlways) {
                 return give_up(id, soonest - now_);
             }
@@ -495,6 +507,7 @@
             if (up) s.risen = now_;
             changed_.insert(id);
         }
+        wake(now_);
         recount(v);
     }
     void lower(Server& v, double kb, double below) {
@@ -668,15 +681,15 @@
     }
 
     void on(const AlarmDue&) {
-        act(SetAlarm{0, now_ + kTick});
+        if (now_ >= next_alarm_) next_alarm_ = kAlways;
         const std::set<SessionId> held = held_;
         std::vector<std::pair<Time, SessionId>> order;  // first come, first served
         for (const SessionId id : held) order.emplace_back(sessions_.at(id).taken, id);
         std::sort(order.begin(), order.end());
         for (const auto& [taken, id] : order)
             if (held_.count(id)) place(id);
-        for (auto& [id, v] : servers_)
-            if (v.listed && (v.news || now_ >= v.looked + kLook)) regulate(v);
+        for (const ServerId id : mine_)
+            if (Server& v = servers_.at(id); v.listed && (v.news || now_ >= v.looked + kLook)) regulate(v);
         // Several steps of one session between two looks are one change: each change costs.
         for (const SessionId id : changed_) {
             const auto it = sessions_.find(id);
@@ -685,7 +698,10 @@
             act(SetRung{id, it->second.rung});
         }
         changed_.clear();
-        if (set_.list_on_request && now_ - asked_ > set_.ask_within / 3) act(FetchList{}), asked_ = now_;
+        if (!mine_.empty()) wake(now_ + kLook);
+        if (!set_.list_on_request) return;
+        if (now_ - asked_ > set_.ask_within / 3) act(FetchList{}), asked_ = now_;
+        wake(asked_ + set_.ask_within / 3);
     }
 
     // ---- Membership ----
@@ -711,12 +727,13 @@
 
     Settings set_;
     std::mt19937_64 random_;
-    Time now_ = 0, born_ = kNever, asked_ = kNever;
+    Time now_ = 0, born_ = kNever, asked_ = kNever, next_alarm_ = kAlways;
     std::vector<Action>* out_ = nullptr;
     std::map<ServerId, Server> servers_;
     std::map<int, Account> uplinks_;
     std::map<SessionId, Session> sessions_;
     std::set<SessionId> held_, changed_;
+    std::set<ServerId> mine_;  // servers with sessions of ours
     std::map<std::pair<TitleId, int>, int> seats_;
     std::map<int, std::deque<Time>> tenants_;  // sessions taken within the share
     std::deque<std::pair<Time, std::uint64_t>> viewers_;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -278,6 +278,19 @@
     EXPECT_LT(w.sessions.at(900).rung + w.sessions.at(901).rung, 8);
 }
 
+TEST(Alarms, AnIdleDirectorSleeps) {
+    Watch w(small_site());
+    w.list(ListKind::full, {entry(1, 0), entry(2, 1)});
+    EXPECT_EQ(w.count<SetAlarm>(), 0);
+    const SessionId id = w.ask(1);
+    ASSERT_TRUE(w.sent(id));
+    EXPECT_EQ(w.count<SetAlarm>(), 1);
+    w.start(id);
+    w.over(id, Outcome::ended, true);
+    w.pass(5000);
+    EXPECT_TRUE(w.alarms.empty());
+}
+
 TEST(Account, SessionsHandedOverAreNotCountedTwice) {
     Settings set = small_site();
     set.directors = 2;
