--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -38,8 +38,10 @@
 constexpr double kGain = 0.4;
 // A report describes a server this long ago: half a usual refresh period and the way.
 constexpr Time kReportLag = 400;
-// Others' load is believed this long after the last word, then fades towards own load times the others.
+// Others' load is believed this long after the last word, then fades towards the mean of the fleet.
 constexpr Time kFresh = 5000, kStale = 30000;
+// That mean forgets words at this rate; own load of the whole fleet, times the directors, counts as one word.
+constexpr Time kPoolMemory = 10000;
 // A set-up takes this long on a loaded server: a hold ends so long before the aim.
 constexpr Time kSetUp = 200;
 // An attempt that may be repeated gets this part of the time left to its aim, and this much at least.
@@ -76,9 +78,29 @@
 
 // ---- Account ----
 
+// What all things of one kind (links, say) are used on average. One director among many has no session or one
+// on most servers, which tells nothing of that server; over the whole fleet its sessions tell a little more,
+// and every word of any server counts.
+struct Pool {
+    double total = 0, own = 0, sum = 0, words = 0;
+    Time heard = 0;
+
+    double fade(Time now) const { return std::exp((heard - now) / kPoolMemory); }
+    void learn(Time now, double use) {
+        const double left = fade(now);
+        sum = sum * left + use, words = words * left + 1;
+        heard = now;
+    }
+    double use(Time now, int directors) const {
+        const double guess = total > 0 ? own * directors / total : 0;
+        return (sum * fade(now) + guess) / (words * fade(now) + 1);
+    }
+};
+
 // Use of one shared thing (a server's streams, a link, an uplink): own part counted, the others' estimated.
 struct Account {
     double total = 0, own = 0, others = 0;
+    Pool* pool = nullptr;
     Time seen = kNever;
     std::deque<std::pair<Time, double>> past;  // own use before each change, for late reports
 
@@ -86,6 +108,7 @@
         if (value == own) return;
         past.emplace_back(now, own);
         while (past.front().first < now - 10000) past.pop_front();
+        if (pool) pool->own += value - own;
         own = value;
     }
     double own_at(Time when) const {
@@ -93,17 +116,19 @@
             if (changed > when) return before;
         return own;
     }
-    // A report says that `use` of the total was asked for `lag` ago.
-    void learn(Time now, double use, Time lag, double gain) {
+    // A report says that `use` of the total was asked for `lag` ago. Words that come of short servers only
+    // (`biased`) tell nothing of the others.
+    void learn(Time now, double use, Time lag, double gain, bool biased = false) {
         const double sample = use * total - own_at(now - lag);
         others = now - seen > kFresh ? sample : others + gain * (sample - others);
         seen = now;
+        if (pool && !biased) pool->learn(now, use);
     }
-    // Without word the others are taken to do as we do.
+    // Without word it is taken to be used as the mean.
     double use(Time now, int directors) const {
         if (total <= 0) return 0;
         const double trust = std::clamp((kStale - (now - seen)) / (kStale - kFresh), 0.0, 1.0);
-        const double guess = own * (directors - 1);
+        const double guess = pool ? pool->use(now, directors) * total * (directors - 1) / directors : 0;
         return std::max(0.0, own + trust * others + (1 - trust) * guess) / total;
     }
 };
@@ -251,7 +276,7 @@
         Account& up = uplinks_[rack(*v)];
         if (e.kind == NoteKind::delivered_share && e.value < 0.98) {
             const double asked = 1 / std::max(e.value, 0.2);
-            if (up.use(now_, set_.directors) < asked) v->link.learn(now_, asked, set_.notes_late, 1);
+            if (up.use(now_, set_.directors) < asked) v->link.learn(now_, asked, set_.notes_late, 1, true);
         } else if (e.kind == NoteKind::link) {
             v->link.learn(now_, e.value, set_.notes_late, kGain);
         } else if (e.kind == NoteKind::uplink) {
@@ -723,6 +748,15 @@
             v.streams.total = entry.kind < int(set_.kind_streams.size()) ? set_.kind_streams[entry.kind] : 0;
             uplinks_[rack(v)].total = set_.rack_kb;
         }
+        // The fleet has changed: what all its things can carry, and carry of ours, is summed anew.
+        stream_pool_.total = stream_pool_.own = link_pool_.total = link_pool_.own = 0;
+        uplink_pool_.total = uplink_pool_.own = 0;
+        const auto pool = [](Account& a, Pool& p) { a.pool = &p, p.total += a.total, p.own += a.own; };
+        for (auto& [id, v] : servers_) {
+            v.streams.pool = v.link.pool = nullptr;
+            if (v.listed) pool(v.streams, stream_pool_), pool(v.link, link_pool_);
+        }
+        for (auto& [rack, up] : uplinks_) pool(up, uplink_pool_);
     }
 
     Settings set_;
@@ -731,6 +765,7 @@
     std::vector<Action>* out_ = nullptr;
     std::map<ServerId, Server> servers_;
     std::map<int, Account> uplinks_;
+    Pool stream_pool_, link_pool_, uplink_pool_;
     std::map<SessionId, Session> sessions_;
     std::set<SessionId> held_, changed_;
     std::set<ServerId> mine_;  // servers with sessions of ours
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -302,6 +302,23 @@
 }
 
 // Own sessions step down for a viewer inside its tenant's share, not for one over it.
+// One session of ours among a hundred directors is no sign that the server is full.
+TEST(Account, OneOwnSessionDoesNotFillAServer) {
+    Settings s = small_site();
+    s.directors = 100;
+    Watch w(s);
+    std::vector<ServerEntry> fleet;
+    for (int k = 1; k <= 50; ++k) fleet.push_back(entry(k, k));
+    w.list(ListKind::full, fleet);
+    w.adopt(900, 1, 1, 5, 4);
+    fleet.resize(1);
+    for (int k = 2; k <= 50; ++k) fleet.push_back(entry(k, k, ServerState::draining));
+    w.list(ListKind::changes, fleet);  // server 1 alone may be sent to
+    const SessionId id = w.ask(1);
+    EXPECT_TRUE(w.sent(id));
+    EXPECT_GT(w.sessions.at(id).rung, 1);
+}
+
 TEST(Share, EachViewerCountsOnce) {
     for (const bool same : {true, false}) {
         Settings set = small_site();
