--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -62,8 +62,10 @@
 constexpr double kFailEase = 0.1, kFailCost = 2;
 // Part of the bearable pace that all directors together send to a cold server: the rest is for chance.
 constexpr double kColdPart = 0.5;
-// Probes for each session taken: few, since they are paid for by the session.
-constexpr double kProbesPerSession = 0.5;
+// Where servers can be probed, the one chosen is asked before the grant unless it was heard of so lately; at
+// most so many a session, since each is paid for. One that does not answer within this wait is passed over.
+constexpr Time kAskAge = 2000, kAskWait = 60;
+constexpr int kAsks = 2;
 // Tenants' requests are counted over this window; over share means so far above the quota.
 constexpr Time kShareWindow = 5000, kRemember = 60000;
 constexpr double kOverShare = 1.2;
@@ -148,7 +150,7 @@
     Time cold_since = kNever, next_cold = kNever;
     bool broke = false;
     // Reports.
-    Time probed = kNever;
+    Time asked = kNever;                  // a probe is out since then
     Time looked = kNever, fell = kNever;  // when rungs were last looked at, and last fell
     bool news = false;
 };
@@ -158,9 +160,9 @@
     enum class State { held, out, playing } state = State::held;
     bool answered = false;      // nothing is owed any more
     bool may_have_run = false;  // some attempt was not proved never to have run
-    ServerId server = 0;
+    ServerId server = 0, asking = 0;
     std::set<ServerId> tried;
-    int rung = 0, told = 0, attempts = 0;  // told: the rung that the server has been told
+    int rung = 0, told = 0, attempts = 0, asks = 0;  // told: the rung that the server has been told
     double worth = 1;
     Time taken = 0, sent = 0, risen = kNever;
 };
@@ -289,23 +291,32 @@
     void on(const ProbeAnswered& e) {
         Server* v = server(e.server);
         if (!v) return;
+        const bool awaited = v->asked != kNever;
+        v->asked = kNever;
         if (e.outcome == Outcome::ended) learn(*v, e.report);
-    }
-
-    // Probes go to the server whose report is oldest, as sessions come: where none come none are needed.
-    void probe() {
-        if (!set_.probes || set_.report_fields.empty()) return;
-        probe_credit_ += kProbesPerSession;
-        while (probe_credit_ >= 1) {
-            Server* oldest = nullptr;
-            for (auto& [id, v] : servers_)
-                if (v.listed && v.entry.state == ServerState::ready && (!oldest || v.probed < oldest->probed))
-                    oldest = &v;
-            if (!oldest) return;
-            probe_credit_ -= 1;
-            oldest->probed = now_;
-            act(Probe{oldest->entry.id});
+        else if (awaited && e.outcome != Outcome::full) strike(*v, false);
+        const std::set<SessionId> held = held_;
+        for (const SessionId id : held)
+            if (held_.count(id) && sessions_.at(id).asking == e.server) place(id);
+    }
+
+    // Asks the server chosen before a grant rests on old word. True: its answer is awaited. A director among
+    // many has no other way to know a server: it sends a session every few seconds and hears of its own
+    // servers only.
+    bool ask(Server& v, Session& s) {
+        if (!set_.probes || set_.report_fields.empty()) return false;
+        if (s.asks >= kAsks || now_ - v.link.seen < kAskAge) return false;
+        if (v.asked == kNever) {
+            s.asks += 1;
+            v.asked = now_;
+            act(Probe{v.entry.id});
         }
+        s.asking = v.entry.id;
+        return true;
+    }
+    bool awaits_word(const Session& s) {
+        const Server* v = server(s.asking);
+        return v && v->asked != kNever && now_ - v->asked <= kAskWait;
     }
 
     // ---- Clock ----
@@ -355,6 +366,7 @@
     bool fit(const Server& v, const Session& s, bool strict) const {
         if (!v.listed || v.entry.state != ServerState::ready || !holds_title(v, s.request)) return false;
         if (now_ < v.rest_until || now_ < v.full_until) return false;
+        if (strict && v.asked != kNever && now_ - v.asked > kAskWait) return false;
         if (s.tried.count(v.entry.id) && strict) return false;
         if (cls(s).repeat == Repeat::harmless || !strict) return true;
         if (v.strikes > 0 || v.failing >= kFailing) return false;
@@ -396,6 +408,7 @@
         if (s.attempts >= std::max(1, set_.max_attempts) || now_ >= s.request.deadline - 1 ||
             (s.attempts > 0 && !may_repeat(s)) || !seat_free(s))
             return give_up(id);
+        if (awaits_word(s)) return hold(id, now_);
         for (const bool strict : {true, false}) {
             Server *best = nullptr, *roomiest = nullptr, *joined = nullptr;
             double best_value = 0, most_room = 0;
@@ -416,13 +429,12 @@
             if (joined) return send(id, *joined, join_rung, false);
             const Time last = aim(s) - kSetUp;
             if (!best && now_ >= last) best = roomiest;
+            if (best && now_ < last && ask(*best, s)) return hold(id, now_);
             if (best) {
                 const int rung = rung_for(*best, s);
                 if (rung >= 0) return send(id, *best, rung, true);
             } else if (soonest < last) {
-                s.state = Session::State::held;
-                held_.insert(id);
-                return wake(now_);
+                return hold(id, now_);
             } else if (soonest < kAlways) {
                 return give_up(id, soonest - now_);
             }
@@ -431,6 +443,12 @@
         give_up(id, kRest);
     }
 
+    void hold(SessionId id, Time until) {
+        sessions_.at(id).state = Session::State::held;
+        held_.insert(id);
+        wake(until);
+    }
+
     // The rung at which the session can join a live stream of ours at the server, else -1.
     int joinable(Server& v, const Session& s) {
         if (!shares(s)) return -1;
@@ -623,7 +641,6 @@
         s.worth = cls(s).worth * (over_share(q) ? set_.over_share_worth : 1);
         sessions_[q.id] = s;
         place(q.id);
-        probe();
     }
 
     // Each viewer counts once and keeps its verdict: those who come again after a refusal are no new demand.
@@ -780,7 +797,7 @@
     std::deque<std::pair<Time, std::uint64_t>> viewers_;
     std::map<std::uint64_t, bool> verdicts_;
     std::deque<Time> requests_, repeats_;  // for the budget of further attempts
-    double hint_sum_ = 0, hints_ = 0, probe_credit_ = 0;
+    double hint_sum_ = 0, hints_ = 0;
     bool adopting_ = false;
 };
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -399,6 +399,29 @@
     }
 }
 
+// The server chosen is asked before the grant: its word decides, and one that says nothing is passed over.
+TEST(Reports, AServerIsAskedBeforeTheGrant) {
+    Settings s = small_site();
+    s.probes = true;
+    for (const bool answers : {true, false}) {
+        Watch w(s);
+        w.list(ListKind::full, {entry(100, 0), entry(101, 1)});
+        const SessionId id = w.ask(1);
+        ASSERT_EQ(w.count<Probe>(), 1);
+        EXPECT_FALSE(w.sent(id));
+        ServerId asked = 0;
+        for (const Action& a : w.last)
+            if (const Probe* p = std::get_if<Probe>(&a)) asked = p->server;
+        w.now += 10;
+        if (answers) w.feed(ProbeAnswered{asked, Outcome::ended, 1, {20, 1.2f, 0.5f}});
+        w.pass(65);
+        w.feed(ProbeAnswered{201 - asked, Outcome::ended, 1, {2, 0.1f, 0.1f}});
+        w.pass(30);
+        EXPECT_TRUE(w.sent(id));
+        EXPECT_EQ(w.sessions.at(id).server, 201 - asked);
+    }
+}
+
 TEST(Reports, NoneOrNonsenseIsSafe) {
     Watch w = warm(small_site());
     w.feed(ProbeAnswered{100, Outcome::ended, 1, {NAN, -5.f, INFINITY, 7.f}});
@@ -427,6 +450,7 @@
     std::mt19937 dice(GetParam());
     auto roll = [&](int n) { return int(dice() % n); };
     Settings set = small_site();
+    set.probes = GetParam() % 3 != 1;
     if (GetParam() % 2) set.budget = BudgetSettings{0.3, 5, 10000};
     if (GetParam() % 3 == 0) set.classes[0].seats = 2;
     if (GetParam() % 4 == 0) set.join_part = 0.2, set.classes[0].live = true;
