--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -569,7 +569,10 @@
         }
     }
 
-    // On news, own rates go towards the mark in proportion: if all directors do so the whole meets it.
+    // On news, own rates go towards the mark in proportion: if all directors do so the whole meets it. A step
+    // that is more than the own part is taken by chance in that proportion: rounded up, every director with
+    // one session there would fall on one word, and rounded down none would ever rise.
+    bool chance(double part) { return std::uniform_real_distribution<double>(0, 1)(random_) < part; }
     void regulate(Server& v) {
         const bool news = v.news;
         v.news = false;
@@ -578,11 +581,16 @@
         if (news && now_used > kMark + kFallOver) {
             if (now_ < v.fell + set_.notes_late + kSettle) return;
             v.fell = now_;
-            lower(v, v.link.own * (1 - kMark / now_used), std::numeric_limits<double>::infinity());
+            double kb = v.link.own * (1 - kMark / now_used);
+            while (const auto down = step(v, -1)) {
+                if (!chance(kb / down->kb)) break;
+                kb -= down->kb;
+                take(v, *down, false);
+            }
         } else if (now_used < kMark - (news ? kRiseUnder : kRiseUnheard) && now_ >= v.rest_until) {
             double kb = v.link.own * (kMark / std::max(now_used, 0.1) - 1);
             while (const auto up = step(v, +1)) {
-                if (up->kb > kb || up->kb > room(v)) break;
+                if (up->kb > room(v) || !chance(kb / up->kb)) break;
                 kb -= up->kb;
                 take(v, *up, true);
             }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -233,6 +233,24 @@
     return sum;
 }
 
+// A hundred directors with one session each hear of one shortage: a part of them steps down, not all or none.
+TEST(Rungs, ManyDirectorsFallInProportion) {
+    Settings s = small_site();
+    s.directors = 100;
+    int fell = 0;
+    for (int k = 0; k < s.directors; ++k) {
+        Watch w(s, 1000 + k);
+        w.list(ListKind::full, {entry(100, 0)});
+        w.adopt(900, 1, 100, 5, 3);
+        w.now += 1000;
+        w.feed(SessionNote{900, 0, 100, NoteKind::delivered_share, 0.9});
+        w.pass(100);
+        fell += w.sessions.at(900).rung < 3;
+    }
+    EXPECT_GT(fell, 5);
+    EXPECT_LT(fell, 60);
+}
+
 TEST(Rungs, OneFallWaitsForWordOfTheLast) {
     Settings set = small_site();
     Watch w = warm(set, 1);
