--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -588,7 +588,7 @@
                 take(v, *down, false);
             }
         } else if (now_used < kMark - (news ? kRiseUnder : kRiseUnheard) && now_ >= v.rest_until) {
-            double kb = v.link.own * ((kMark - kRiseUnder / 2) / std::max(now_used, 0.1) - 1);
+            double kb = v.link.own * (kMark / std::max(now_used, 0.1) - 1);
             while (const auto up = step(v, +1)) {
                 if (up->kb > room(v) || !chance(kb / up->kb)) break;
                 kb -= up->kb;
