--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -88,14 +88,15 @@
     Time heard = 0;
 
     double fade(Time now) const { return std::exp((heard - now) / kPoolMemory); }
-    void learn(Time now, double use) {
+    double guess(int directors) const { return total > 0 ? own * directors / total : 0; }
+    // Words correct the guess; between them it moves as own load does, so that a surge shows at once.
+    void learn(Time now, double use, int directors) {
         const double left = fade(now);
-        sum = sum * left + use, words = words * left + 1;
+        sum = sum * left + use - guess(directors), words = words * left + 1;
         heard = now;
     }
     double use(Time now, int directors) const {
-        const double guess = total > 0 ? own * directors / total : 0;
-        return (sum * fade(now) + guess) / (words * fade(now) + 1);
+        return std::max(0.0, guess(directors) + sum * fade(now) / (words * fade(now) + 1));
     }
 };
 
@@ -120,11 +121,11 @@
     }
     // A report says that `use` of the total was asked for `lag` ago. Words that come of short servers only
     // (`biased`) tell nothing of the others.
-    void learn(Time now, double use, Time lag, double gain, bool biased = false) {
+    void learn(Time now, double use, Time lag, double gain, int directors, bool biased = false) {
         const double sample = use * total - own_at(now - lag);
         others = now - seen > kFresh ? sample : others + gain * (sample - others);
         seen = now;
-        if (pool && !biased) pool->learn(now, use);
+        if (pool && !biased) pool->learn(now, use, directors);
     }
     // Without word it is taken to be used as the mean.
     double use(Time now, int directors) const {
@@ -247,14 +248,14 @@
             switch (set_.report_fields[k]) {
                 case ReportField::streams:
                     if (v.streams.total > 0)
-                        v.streams.learn(now_, value / v.streams.total, kReportLag, kGain);
+                        v.streams.learn(now_, value / v.streams.total, kReportLag, kGain, set_.directors);
                     break;
                 case ReportField::link:
                 case ReportField::link_capped:
-                    v.link.learn(now_, value, kReportLag, kGain);
+                    v.link.learn(now_, value, kReportLag, kGain, set_.directors);
                     break;
                 case ReportField::uplink:
-                    uplinks_[rack(v)].learn(now_, value, kReportLag, kGain / 2);
+                    uplinks_[rack(v)].learn(now_, value, kReportLag, kGain / 2, set_.directors);
                     break;
                 default:
                     continue;
@@ -278,11 +279,12 @@
         Account& up = uplinks_[rack(*v)];
         if (e.kind == NoteKind::delivered_share && e.value < 0.98) {
             const double asked = 1 / std::max(e.value, 0.2);
-            if (up.use(now_, set_.directors) < asked) v->link.learn(now_, asked, set_.notes_late, 1, true);
+            if (up.use(now_, set_.directors) < asked)
+                v->link.learn(now_, asked, set_.notes_late, 1, set_.directors, true);
         } else if (e.kind == NoteKind::link) {
-            v->link.learn(now_, e.value, set_.notes_late, kGain);
+            v->link.learn(now_, e.value, set_.notes_late, kGain, set_.directors);
         } else if (e.kind == NoteKind::uplink) {
-            up.learn(now_, e.value, set_.notes_late, kGain);
+            up.learn(now_, e.value, set_.notes_late, kGain, set_.directors);
         }
         v->news = true;
         wake(now_);
