--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -42,8 +42,6 @@
 constexpr Time kFresh = 5000, kStale = 30000;
 // That mean forgets words at this rate; own load of the whole fleet, times the directors, counts as one word.
 constexpr Time kPoolMemory = 10000;
-// Own load tells of the fleet's changes the better the more sessions it is: with so many, half is believed.
-constexpr double kFewSessions = 10;
 // A set-up takes this long on a loaded server: a hold ends so long before the aim.
 constexpr Time kSetUp = 200;
 // An attempt that may be repeated gets this part of the time left to its aim, and this much at least.
@@ -85,27 +83,20 @@
 // What all things of one kind (links, say) are used on average. One director among many has no session or one
 // on most servers, which tells nothing of that server; over the whole fleet its sessions tell a little more,
 // and every word of any server counts.
-// What one director's load says of all: how many there are, and which part of its own changes is no chance.
-struct Sight {
-    int directors;
-    double firm;
-};
-
 struct Pool {
     double total = 0, own = 0, sum = 0, words = 0;
     Time heard = 0;
 
     double fade(Time now) const { return std::exp((heard - now) / kPoolMemory); }
-    double guess(Sight sight) const { return total > 0 ? own * sight.directors / total : 0; }
+    double guess(int directors) const { return total > 0 ? own * directors / total : 0; }
     // Words correct the guess; between them it moves as own load does, so that a surge shows at once.
-    void learn(Time now, double use, Sight sight) {
+    void learn(Time now, double use, int directors) {
         const double left = fade(now);
-        sum = sum * left + use - sight.firm * guess(sight), words = words * left + 1;
+        sum = sum * left + use - guess(directors), words = words * left + 1;
         heard = now;
     }
-    double use(Time now, Sight sight) const {
-        const double firm = sight.firm * guess(sight), rest = guess(sight) - firm;
-        return std::max(0.0, firm + (sum * fade(now) + rest) / (words * fade(now) + 1));
+    double use(Time now, int directors) const {
+        return std::max(0.0, guess(directors) + sum * fade(now) / (words * fade(now) + 1));
     }
 };
 
@@ -130,18 +121,17 @@
     }
     // A report says that `use` of the total was asked for `lag` ago. Words that come of short servers only
     // (`biased`) tell nothing of the others.
-    void learn(Time now, double use, Time lag, double gain, Sight sight, bool biased = false) {
+    void learn(Time now, double use, Time lag, double gain, int directors, bool biased = false) {
         const double sample = use * total - own_at(now - lag);
         others = now - seen > kFresh ? sample : others + gain * (sample - others);
         seen = now;
-        if (pool && !biased) pool->learn(now, use, sight);
+        if (pool && !biased) pool->learn(now, use, directors);
     }
     // Without word it is taken to be used as the mean.
-    double use(Time now, Sight sight) const {
+    double use(Time now, int directors) const {
         if (total <= 0) return 0;
         const double trust = std::clamp((kStale - (now - seen)) / (kStale - kFresh), 0.0, 1.0);
-        const double guess =
-            pool ? pool->use(now, sight) * total * (sight.directors - 1) / sight.directors : 0;
+        const double guess = pool ? pool->use(now, directors) * total * (directors - 1) / directors : 0;
         return std::max(0.0, own + trust * others + (1 - trust) * guess) / total;
     }
 };
@@ -218,18 +208,13 @@
     Time aim(const Session& s) const { return std::min(s.taken + cls(s).aim, s.request.deadline); }
     int rack(const Server& v) const { return set_.racks > 0 ? v.entry.position % set_.racks : 0; }
 
-    Sight sight() const {
-        const double n = sessions_.size();
-        return {std::max(1, set_.directors), n / (n + kFewSessions)};
-    }
-
     Server* server(ServerId id) {
         const auto it = servers_.find(id);
         return it == servers_.end() ? nullptr : &it->second;
     }
 
     double use(const Server& v) {
-        return std::max(v.link.use(now_, sight()), uplinks_[rack(v)].use(now_, sight()));
+        return std::max(v.link.use(now_, set_.directors), uplinks_[rack(v)].use(now_, set_.directors));
     }
 
     // Counts own streams and rates of a server anew. Viewers of one live title, class and rung share a
@@ -263,14 +248,14 @@
             switch (set_.report_fields[k]) {
                 case ReportField::streams:
                     if (v.streams.total > 0)
-                        v.streams.learn(now_, value / v.streams.total, kReportLag, kGain, sight());
+                        v.streams.learn(now_, value / v.streams.total, kReportLag, kGain, set_.directors);
                     break;
                 case ReportField::link:
                 case ReportField::link_capped:
-                    v.link.learn(now_, value, kReportLag, kGain, sight());
+                    v.link.learn(now_, value, kReportLag, kGain, set_.directors);
                     break;
                 case ReportField::uplink:
-                    uplinks_[rack(v)].learn(now_, value, kReportLag, kGain / 2, sight());
+                    uplinks_[rack(v)].learn(now_, value, kReportLag, kGain / 2, set_.directors);
                     break;
                 default:
                     continue;
@@ -294,11 +279,12 @@
         Account& up = uplinks_[rack(*v)];
         if (e.kind == NoteKind::delivered_share && e.value < 0.98) {
             const double asked = 1 / std::max(e.value, 0.2);
-            if (up.use(now_, sight()) < asked) v->link.learn(now_, asked, set_.notes_late, 1, sight(), true);
+            if (up.use(now_, set_.directors) < asked)
+                v->link.learn(now_, asked, set_.notes_late, 1, set_.directors, true);
         } else if (e.kind == NoteKind::link) {
-            v->link.learn(now_, e.value, set_.notes_late, kGain, sight());
+            v->link.learn(now_, e.value, set_.notes_late, kGain, set_.directors);
         } else if (e.kind == NoteKind::uplink) {
-            up.learn(now_, e.value, set_.notes_late, kGain, sight());
+            up.learn(now_, e.value, set_.notes_late, kGain, set_.directors);
         }
         v->news = true;
         wake(now_);
@@ -342,7 +328,7 @@
     // When the server's clock grants the next stream; kNever: at once.
     Time opens(Server& v) {
         if (v.streams.total <= 0) return kNever;
-        if (v.streams.use(now_, sight()) < kPacedFrom && use(v) < kPacedFrom) return kNever;
+        if (v.streams.use(now_, set_.directors) < kPacedFrom && use(v) < kPacedFrom) return kNever;
         const Time interval = std::max(kLeastInterval, view() / v.streams.total);
         if (now_ >= v.interval_end) v.interval_end = now_ + interval, v.granted = 0;
         const double most = std::max(1.0, std::floor(interval * v.streams.total / view()));
@@ -400,15 +386,17 @@
     }
 
     // Kilobytes a second that the server's link and its rack's uplink still have under the mark.
-    double link_room(const Server& v) const { return (kMark - v.link.use(now_, sight())) * v.link.total; }
+    double link_room(const Server& v) const {
+        return (kMark - v.link.use(now_, set_.directors)) * v.link.total;
+    }
     double room(Server& v) {
         Account& up = uplinks_[rack(v)];
         const double link = link_room(v);
-        return up.total > 0 ? std::min(link, (kMark - up.use(now_, sight())) * up.total) : link;
+        return up.total > 0 ? std::min(link, (kMark - up.use(now_, set_.directors)) * up.total) : link;
     }
 
     double value(Server& v, const Session& s) {
-        double value = 1 - std::max(use(v), v.streams.use(now_, sight()));
+        double value = 1 - std::max(use(v), v.streams.use(now_, set_.directors));
         if (v.entry.zone != set_.zone) value -= set_.cross_zone_price * 5;
         // A doubtful server that has rested is tested by one session that may be sent again.
         if (v.strikes > 0 && cls(s).repeat == Repeat::harmless && s.attempts == 0) return 2;
@@ -433,7 +421,7 @@
                 const Time cold = cold_opens(v);
                 if (const int rung = joinable(v, s); rung > join_rung && cold <= now_)
                     joined = &v, join_rung = rung;
-                if (v.streams.total > 0 && v.streams.use(now_, sight()) >= 1) continue;
+                if (v.streams.total > 0 && v.streams.use(now_, set_.directors) >= 1) continue;
                 const Time open = std::max(opens(v), cold);
                 soonest = std::min(soonest, open);
                 const double val = value(v, s);
