--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -66,6 +66,9 @@
 // most so many a session, since each is paid for. One that does not answer within this wait is passed over.
 constexpr Time kAskAge = 2000, kAskWait = 60;
 constexpr int kAsks = 2;
+// A server that seems to have room for rises is asked for word of it this often: a rise wins several seconds
+// of worth, a probe costs a part of one.
+constexpr Time kRiseAsk = 10000;
 // Tenants' requests are counted over this window; over share means so far above the quota.
 constexpr Time kShareWindow = 5000, kRemember = 60000;
 constexpr double kOverShare = 1.2;
@@ -589,6 +592,10 @@
                 kb -= down->kb;
                 take(v, *down, false);
             }
+        } else if (!news && set_.probes && !set_.report_fields.empty() && v.asked == kNever &&
+                   now_ - v.link.seen > kRiseAsk && now_used < kMark - kRiseUnder) {
+            v.asked = now_;
+            act(Probe{v.entry.id});
         } else if (now_used < kMark - (news ? kRiseUnder : kRiseUnheard) && now_ >= v.rest_until) {
             double kb = v.link.own * (kMark / std::max(now_used, 0.1) - 1);
             while (const auto up = step(v, +1)) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -418,6 +418,25 @@
     }
 }
 
+// Low rungs rise on word only: a server of ours that seems to have room is asked for it now and then.
+TEST(Reports, OwnServersWithRoomAreAskedForRises) {
+    Settings s = small_site();
+    s.probes = true;
+    Watch w(s);
+    w.list(ListKind::full, fleet(2));
+    w.adopt(900, 1, 100, 5, 0);
+    int probes = 0;
+    for (int k = 0; k < 400; ++k) {
+        w.pass(100);
+        if (w.count<Probe>() == 0) continue;
+        ++probes;
+        w.feed(ProbeAnswered{100, Outcome::ended, 1, {10, 0.9f, 0.1f}});
+    }
+    EXPECT_GE(probes, 1);
+    EXPECT_LE(probes, 4);
+    EXPECT_LE(w.sessions.at(900).rung, 1);
+}
+
 // The server chosen is asked before the grant: its word decides, and one that says nothing is passed over.
 TEST(Reports, AServerIsAskedBeforeTheGrant) {
     Settings s = small_site();
