--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -413,7 +413,9 @@
         const double used = std::max(use(v), v.streams.use(now_, set_.directors));
         // Directors that cannot speak to each other meet at one server for a live title, and at the next when
         // that is full: viewers of one stream add a part of its rate only.
-        double value = shares(s) && used < kMark ? 1 + meeting(s.request.title, v.entry.id) : 1 - used;
+        double value = shares(s) && room(v) > rate(s, top(s)) * first_part(s)
+                           ? 1 + meeting(s.request.title, v.entry.id)
+                           : 1 - used;
         if (v.entry.zone != set_.zone) value -= set_.cross_zone_price * 5;
         // A doubtful server that has rested is tested by one session that may be sent again.
         if (v.strikes > 0 && cls(s).repeat == Repeat::harmless && s.attempts == 0) return 2;
