--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -31,7 +31,7 @@
 // costs more than a later step up wins.
 constexpr double kRoomPart = 0.2;
 // Rungs move only when use is off the mark by more than the noise of one smoothed report.
-constexpr double kFallOver = 0.08, kRiseUnder = 0.12;
+constexpr double kFallOver = 0.08, kRiseUnder = 0.2;
 // Without news, others may have risen on the same old word: only a link this far under the mark is used.
 constexpr double kRiseUnheard = 0.5;
 // One report moves the estimate of the others' load by this part: reports are noisy.
