--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -716,7 +716,13 @@
             learn(*v, e.report);
             if (was_out) {
                 if (e.outcome == Outcome::timed_out) strike(*v, false);
-                if (e.outcome == Outcome::full) v->full_until = now_ + kFullRest;
+                if (e.outcome == Outcome::full) {
+                    // "Full" is word too, the freshest there is: of the link where servers refuse by it.
+                    v->full_until = now_ + kFullRest;
+                    Account& a = set_.refuses_from > 0 ? v->link : v->streams;
+                    const double least = set_.refuses_from > 0 ? set_.refuses_from : 1;
+                    if (a.use(now_, set_.directors) < least) a.learn(now_, least, 0, 1, set_.directors);
+                }
                 if (e.outcome == Outcome::error) v->failing += kFailGain * (1 - v->failing);
             }
             if (e.outcome == Outcome::reset || e.outcome == Outcome::not_connected) strike(*v, true);
