--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,6 +30,9 @@
 // part of the room left: worth grows ever slower with rate, so equal rungs earn most, and a later step down
 // costs more than a later step up wins.
 constexpr double kRoomPart = 0.2;
+// In a crowd others take of the same room before word of it comes: the part shrinks with the sessions that
+// come to a server in that time, by our own arrivals of late. Word is never newer than the first of these.
+constexpr Time kArrivals = 5000, kNewest = 1000;
 // Rungs move only when use is off the mark by more than the noise of one smoothed report.
 constexpr double kFallOver = 0.08, kRiseUnder = 0.2;
 // Without news, others may have risen on the same old word: only a link this far under the mark is used.
@@ -348,8 +351,8 @@
         return v.next_cold;
     }
     void chill(Server& v, Time since) {
+        if (now_ >= v.cold_since + set_.cold_time) v.next_cold = kNever;  // else the pace goes on
         v.cold_since = since;
-        v.next_cold = kNever;
     }
     void spend_cold(Server& v, double part) {
         const double age = std::clamp((now_ - v.cold_since) / std::max(1.0, set_.cold_time), 0.0, 1.0);
@@ -501,6 +504,9 @@
         return s.worth * (set_.rung_worth[to] - (from < 0 ? 0 : set_.rung_worth[from])) / std::max(kb, 1e-9);
     }
 
+    double recent() const { return arrivals_ * std::exp((arrived_ - now_) / kArrivals); }
+    double arrivals() const { return std::max(0.0, recent() - 1) / kArrivals; }  // beside the one decided on
+
     // The highest rung with room under the mark. Where even the rung that earns most for its rate has none,
     // own sessions that earn less for theirs step down first.
     int rung_for(Server& v, const Session& s) {
@@ -515,9 +521,11 @@
             if (const double lack = rate(s, best) - room(v); lack > 0) lower(other, lack, price);
         }
         const double left = room(v);
+        const Time age = std::clamp(now_ - v.link.seen, kNewest, kFresh);
+        const double part =
+            kRoomPart / (1 + arrivals() * age * set_.directors / std::max<std::size_t>(1, ready_));
         int rung = -1;
-        for (int r = cls(s).floor; r <= top(s) && rate(s, r) <= left * (r > best ? kRoomPart : 1); ++r)
-            rung = r;
+        for (int r = cls(s).floor; r <= top(s) && rate(s, r) <= left * (r > best ? part : 1); ++r) rung = r;
         return rung;
     }
 
@@ -649,7 +657,8 @@
     }
 
     void on(const SessionRequest& q) {
-        requests_.push_back(now_);
+        arrivals_ = recent() + 1, arrived_ = now_;
+        if (set_.budget) requests_.push_back(now_);
         budget_left(0);
         if (q.length_hint) hint_sum_ += *q.length_hint, hints_ += 1;
         Session s;
@@ -795,11 +804,13 @@
             uplinks_[rack(v)].total = set_.rack_kb;
         }
         // The fleet has changed: what all its things can carry, and carry of ours, is summed anew.
+        ready_ = 0;
         stream_pool_.total = stream_pool_.own = link_pool_.total = link_pool_.own = 0;
         uplink_pool_.total = uplink_pool_.own = 0;
         const auto pool = [](Account& a, Pool& p) { a.pool = &p, p.total += a.total, p.own += a.own; };
         for (auto& [id, v] : servers_) {
             v.streams.pool = v.link.pool = nullptr;
+            ready_ += v.listed && v.entry.state == ServerState::ready;
             if (v.listed) pool(v.streams, stream_pool_), pool(v.link, link_pool_);
         }
         for (auto& [rack, up] : uplinks_) pool(up, uplink_pool_);
@@ -820,7 +831,9 @@
     std::deque<std::pair<Time, std::uint64_t>> viewers_;
     std::map<std::uint64_t, bool> verdicts_;
     std::deque<Time> requests_, repeats_;  // for the budget of further attempts
-    double hint_sum_ = 0, hints_ = 0;
+    double hint_sum_ = 0, hints_ = 0, arrivals_ = 0;
+    Time arrived_ = 0;
+    std::size_t ready_ = 0;  // servers that sessions may be sent to
     bool adopting_ = false;
 };
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -298,6 +298,20 @@
     EXPECT_LT(w.sessions.at(id).rung, 4);
 }
 
+// In a crowd others take of the same room before word of it comes.
+TEST(Rungs, ACrowdStartsLower) {
+    int rung[2];
+    for (const int crowd : {0, 1}) {
+        Settings s = small_site();
+        s.directors = 50;
+        Watch w(s);
+        w.list(ListKind::full, fleet(20));
+        for (int k = 0; k < 30 * crowd; ++k) w.ask(1, k, 0, k, false);  // refused for want of a holder
+        rung[crowd] = w.sessions.at(w.ask(1)).rung;
+    }
+    EXPECT_LT(rung[1], rung[0]);
+}
+
 TEST(Rungs, OwnSessionsStepDownBeforeANewOneIsRefused) {
     Settings set = small_site();
     set.directors = 1;
@@ -460,6 +474,19 @@
     }
 }
 
+// A set-up turned away as full is word of a full server.
+TEST(Reports, FullIsWord) {
+    Settings s = small_site();
+    s.refuses_from = 1;
+    Watch w(s);
+    w.list(ListKind::full, fleet(2));
+    const SessionId id = w.ask(1);
+    const ServerId full = w.sessions.at(id).server;
+    w.over(id, Outcome::full, false);
+    w.pass(2000);  // its rest is over
+    for (int k = 0; k < 5; ++k) EXPECT_NE(w.sessions.at(w.ask(1)).server, full);
+}
+
 TEST(Reports, NoneOrNonsenseIsSafe) {
     Watch w = warm(small_site());
     w.feed(ProbeAnswered{100, Outcome::ended, 1, {NAN, -5.f, INFINITY, 7.f}});
