--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -582,6 +582,21 @@
         }
     }
 
+    // What a step of one of our sessions, on any server, earns or costs for its rate: with one session a
+    // server, the cheapest of all directors' steps come first only if each weighs its own against the usual.
+    double usual_density(int by) const {
+        double kb = 0, sum = 0;
+        for (const auto& [id, s] : sessions_) {
+            const int to = s.rung + by;
+            if (s.state == Session::State::held || to < cls(s).floor || to > top(s)) continue;
+            const double one = std::abs(rate(s, to) - rate(s, s.rung));
+            const double density = s.worth * std::abs(set_.rung_worth[to] - set_.rung_worth[s.rung]) / one;
+            kb += one;
+            sum += by < 0 ? one / std::max(density, 1e-9) : one * density;
+        }
+        return kb <= 0 || sum <= 0 ? 1 : by < 0 ? kb / sum : sum / kb;
+    }
+
     // On news, own rates go towards the mark in proportion: if all directors do so the whole meets it. A step
     // that is more than the own part is taken by chance in that proportion: rounded up, every director with
     // one session there would fall on one word, and rounded down none would ever rise.
@@ -596,7 +611,7 @@
             v.fell = now_;
             double kb = v.link.own * (1 - kMark / now_used);
             while (const auto down = step(v, -1)) {
-                if (!chance(kb / down->kb)) break;
+                if (!chance(kb / down->kb * usual_density(-1) / down->density)) break;
                 kb -= down->kb;
                 take(v, *down, false);
             }
@@ -607,7 +622,7 @@
         } else if (now_used < kMark - (news ? kRiseUnder : kRiseUnheard) && now_ >= v.rest_until) {
             double kb = v.link.own * (kMark / std::max(now_used, 0.1) - 1);
             while (const auto up = step(v, +1)) {
-                if (up->kb > room(v) || !chance(kb / up->kb)) break;
+                if (up->kb > room(v) || !chance(kb / up->kb * up->density / usual_density(+1))) break;
                 kb -= up->kb;
                 take(v, *up, true);
             }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -298,6 +298,27 @@
     EXPECT_LT(w.sessions.at(id).rung, 4);
 }
 
+// With one session a server, those that lose least for their rate fall more often on the same word.
+TEST(Rungs, HighRungsFallBeforeLowOnes) {
+    Settings s = small_site();
+    s.directors = 100;
+    s.racks = 10;
+    int high = 0, low = 0;
+    for (int k = 0; k < s.directors; ++k) {
+        Watch w(s, 1000 + k);
+        w.list(ListKind::full, fleet(50));
+        w.adopt(900, 1, 100, 5, 4);
+        w.adopt(901, 1, 101, 6, 2);
+        w.now += 1000;
+        for (const SessionId id : {900, 901})
+            w.feed(SessionNote{id, 0, ServerId(id - 800), NoteKind::delivered_share, 0.85});
+        w.pass(100);
+        high += w.sessions.at(900).rung < 4;
+        low += w.sessions.at(901).rung < 2;
+    }
+    EXPECT_GT(high, 2 * low);
+}
+
 // In a crowd others take of the same room before word of it comes.
 TEST(Rungs, ACrowdStartsLower) {
     int rung[2];
