--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -524,16 +524,8 @@
         const Time age = std::clamp(now_ - v.link.seen, kNewest, kFresh);
         const double part =
             kRoomPart / (1 + arrivals() * age * set_.directors / std::max<std::size_t>(1, ready_));
-        const double usual = usual_density(+1);
         int rung = -1;
-        for (int r = cls(s).floor;
-             r <= top(s) &&
-             rate(s, r) <=
-                 left * (r > best
-                             ? part * (usual > 0 ? std::clamp(density(s, r - 1, r) / usual, 0.5, 2.0) : 1)
-                             : 1);
-             ++r)
-            rung = r;
+        for (int r = cls(s).floor; r <= top(s) && rate(s, r) <= left * (r > best ? part : 1); ++r) rung = r;
         return rung;
     }
 
@@ -602,7 +594,7 @@
             kb += one;
             sum += by < 0 ? one / std::max(density, 1e-9) : one * density;
         }
-        return kb <= 0 || sum <= 0 ? 0 : by < 0 ? kb / sum : sum / kb;
+        return kb <= 0 || sum <= 0 ? 1 : by < 0 ? kb / sum : sum / kb;
     }
 
     // On news, own rates go towards the mark in proportion: if all directors do so the whole meets it. A step
