--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -81,6 +81,8 @@
 constexpr Time kSettle = 1000;
 // Rungs are looked at this often where no news comes; they only rise then.
 constexpr Time kLook = 2000;
+// An alarm that comes so late tells that this director itself stood still.
+constexpr Time kLate = 100;
 // The module looks at holds and at news this often at most.
 constexpr Time kTick = 20;
 
@@ -183,6 +185,7 @@
     void handle(Time now, const Event& event, std::vector<Action>& actions) {
         now_ = now;
         out_ = &actions;
+        if (now > next_alarm_ + kLate) stalled_ = now;
         if (born_ == kNever) {
             born_ = now;
             if (set_.list_on_request) act(FollowList{true}), asked_ = now, wake(now);
@@ -374,13 +377,13 @@
     bool fit(const Server& v, const Session& s, bool strict) const {
         if (!v.listed || v.entry.state != ServerState::ready || !holds_title(v, s.request)) return false;
         if (now_ < v.rest_until || now_ < v.full_until) return false;
-        if (strict && v.asked != kNever && now_ - v.asked > kAskWait) return false;
+        if (strict && v.asked != kNever && now_ - v.asked > kAskWait && now_ != stalled_) return false;
         if (s.tried.count(v.entry.id) && strict) return false;
         if (cls(s).repeat == Repeat::harmless || !strict) return true;
         if (v.strikes > 0 || v.failing >= kFailing) return false;
         for (const SessionId id : v.sessions) {
             const Session& o = sessions_.at(id);
-            if (o.state == Session::State::out && now_ - o.sent > kOverdue) return false;
+            if (o.state == Session::State::out && now_ - o.sent > kOverdue && now_ != stalled_) return false;
         }
         return true;
     }
@@ -490,6 +493,7 @@
             expires = std::min(expires, s.request.deadline);
         }
         if (cls(s).seats > 0) seats_[{s.request.title, s.request.cls}] += 1;
+        wake(expires);  // also to know of an own stall
         v.sessions.insert(id);
         recount(v);
         act(SetRung{id, rung});
@@ -638,7 +642,10 @@
         v.rest_until = kNever;
         v.last_ok = now_;
     }
+    // What a director that stood still finds in one moment tells of itself: no server is blamed for silence
+    // then.
     void strike(Server& v, bool broke) {
+        if (!broke && now_ == stalled_) return;
         v.strikes += 1;
         v.broke = v.broke || broke;
         if (broke) chill(v, now_);
@@ -833,7 +840,7 @@
 
     Settings set_;
     std::mt19937_64 random_;
-    Time now_ = 0, born_ = kNever, asked_ = kNever, next_alarm_ = kAlways;
+    Time now_ = 0, born_ = kNever, stalled_ = kNever, asked_ = kNever, next_alarm_ = kAlways;
     std::vector<Action>* out_ = nullptr;
     std::map<ServerId, Server> servers_;
     std::map<int, Account> uplinks_;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -402,6 +402,19 @@
     }
 }
 
+// A director that stood still finds time-outs at once, with an alarm overdue: no server is to blame.
+TEST(Health, OwnStallBlamesNoServer) {
+    for (const bool stall : {true, false}) {
+        Watch w = warm(small_site(), 1);
+        const SessionId id = w.ask(0);
+        ASSERT_TRUE(w.sent(id));
+        if (stall) w.now += 4200;  // its alarms did not come
+        else w.pass(3990), w.now += 10;
+        w.over(id, Outcome::timed_out, true);
+        EXPECT_EQ(w.sent(w.ask(0)), stall);
+    }
+}
+
 TEST(Health, ResetServerIsRestedAndItsReturnPaced) {
     Watch w = warm(small_site(), 2);
     w.pass(20000);
