--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -210,6 +210,11 @@
 
     const ClassSettings& cls(const Session& s) const { return set_.classes[s.request.cls]; }
     bool shares(const Session& s) const { return cls(s).live && set_.join_part < 1; }
+    // What a session takes of its rate. A live stream that all directors send to one server is shared with
+    // theirs.
+    double first_part(const Session& s) const {
+        return shares(s) ? set_.join_part + (1 - set_.join_part) / std::max(1, set_.directors) : 1;
+    }
     double rate(const Session& s, int rung) const { return set_.rung_kb[rung] * cls(s).rate_part; }
     int top(const Session& s) const {
         return std::max(cls(s).floor, std::min(cls(s).top, s.request.top_rung));
@@ -234,7 +239,7 @@
         for (const SessionId id : v.sessions) {
             const Session& s = sessions_.at(id);
             const bool further = shares(s) && shared[{s.request.title, s.request.cls, s.rung}]++ > 0;
-            kb += rate(s, s.rung) * (further ? set_.join_part : 1);
+            kb += rate(s, s.rung) * (further ? set_.join_part : first_part(s));
             streams += further ? 0 : 1;
         }
         Account& up = uplinks_[rack(v)];
@@ -404,8 +409,18 @@
         return up.total > 0 ? std::min(link, (kMark - up.use(now_, set_.directors)) * up.total) : link;
     }
 
+    // A number from 0 to 1 that all directors draw alike for a title and a server.
+    static double meeting(TitleId title, ServerId server) {
+        std::uint64_t x = title * 0x9e3779b97f4a7c15u ^ server;
+        for (const int shift : {30, 27, 31}) x = (x ^ (x >> shift)) * 0xbf58476d1ce4e5b9u;
+        return static_cast<double>(x >> 11) / 9007199254740992.0;
+    }
     double value(Server& v, const Session& s) {
         double value = 1 - std::max(use(v), v.streams.use(now_, set_.directors));
+        // Directors that cannot speak to each other meet at one server for a live title, and at the next when
+        // that is full: viewers of one stream add a part of its rate only.
+        if (shares(s) && room(v) > rate(s, top(s)) * first_part(s))
+            value = 1 + meeting(s.request.title, v.entry.id);
         if (v.entry.zone != set_.zone) value -= set_.cross_zone_price * 5;
         // A doubtful server that has rested is tested by one session that may be sent again.
         if (v.strikes > 0 && cls(s).repeat == Repeat::harmless && s.attempts == 0) return 2;
@@ -529,7 +544,9 @@
         const double part =
             kRoomPart / (1 + arrivals() * age * set_.directors / std::max<std::size_t>(1, ready_));
         int rung = -1;
-        for (int r = cls(s).floor; r <= top(s) && rate(s, r) <= left * (r > best ? part : 1); ++r) rung = r;
+        for (int r = cls(s).floor;
+             r <= top(s) && rate(s, r) * first_part(s) <= left * (r > best && !shares(s) ? part : 1); ++r)
+            rung = r;
         return rung;
     }
 
@@ -561,7 +578,7 @@
             }
             if (!able || one.members.empty()) continue;
             const double unit = std::abs(rate(s, one.to) - rate(s, s.rung));
-            one.kb = unit * (1 + set_.join_part * (one.members.size() - 1));
+            one.kb = unit * (first_part(s) + set_.join_part * (one.members.size() - 1));
             one.density = worth * std::abs(set_.rung_worth[one.to] - set_.rung_worth[s.rung]) / one.kb;
             if (!best || (by < 0 ? one.density < best->density : one.density > best->density)) best = one;
         }
@@ -593,7 +610,7 @@
         for (const auto& [id, s] : sessions_) {
             const int to = s.rung + by;
             if (s.state == Session::State::held || to < cls(s).floor || to > top(s)) continue;
-            const double one = std::abs(rate(s, to) - rate(s, s.rung));
+            const double one = std::abs(rate(s, to) - rate(s, s.rung)) * first_part(s);
             const double density = s.worth * std::abs(set_.rung_worth[to] - set_.rung_worth[s.rung]) / one;
             kb += one;
             sum += by < 0 ? one / std::max(density, 1e-9) : one * density;
