--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -544,8 +544,8 @@
         const double part =
             kRoomPart / (1 + arrivals() * age * set_.directors / std::max<std::size_t>(1, ready_));
         int rung = -1;
-        for (int r = cls(s).floor;
-             r <= top(s) && rate(s, r) * first_part(s) <= left * (r > best && !shares(s) ? part : 1); ++r)
+        for (int r = cls(s).floor; r <= top(s) && rate(s, r) * first_part(s) <= left * (r > best ? part : 1);
+             ++r)
             rung = r;
         return rung;
     }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -192,6 +192,23 @@
 }
 
 // In a crowd on one live title some viewer is always in set-up.
+// Directors cannot speak to each other, yet send the viewers of a live title to one server, another for each.
+TEST(Join, AllDirectorsMeetAtOneServerForALiveTitle) {
+    Settings s = small_site();
+    s.directors = 100;
+    s.join_part = 0.2;
+    s.classes[1].live = true;
+    std::set<ServerId> of_one, of_many;
+    for (int k = 0; k < 40; ++k) {
+        Watch w(s, 1000 + k);
+        w.list(ListKind::full, fleet(20));
+        of_one.insert(w.sessions.at(w.ask(1, 5)).server);
+        of_many.insert(w.sessions.at(w.ask(1, 100 + k)).server);
+    }
+    EXPECT_EQ(of_one.size(), 1u);
+    EXPECT_GT(of_many.size(), 10u);
+}
+
 TEST(Join, ASharedStreamStepsDownWithAViewerInSetUp) {
     Settings set = small_site();
     set.join_part = 0.15;
