--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -464,10 +464,7 @@
             } else if (soonest < kAlways) {
                 return give_up(id, soonest - now_);
             }
-            if (best) {
-                make_room(s);
-                return give_up(id, view() / std::max(1.0, best->streams.total));
-            }
+            if (best) return give_up(id, view() / std::max(1.0, best->streams.total));
         }
         give_up(id, kRest);
     }
@@ -621,27 +618,6 @@
         return kb <= 0 || sum <= 0 ? 1 : by < 0 ? kb / sum : sum / kb;
     }
 
-    // A session refused for want of room is worth more than the last step of many that play, but with one
-    // session a server they are other directors'. So our cheapest steps on any holder make room for one like
-    // it: if all directors do so, each finds the others' room.
-    void make_room(const Session& s) {
-        const int least = cls(s).floor;
-        double kb = rate(s, least);
-        while (kb > 0) {
-            Server* where = nullptr;
-            std::optional<Step> cheapest;
-            for (const ServerId id : mine_) {
-                Server& v = servers_.at(id);
-                if (!v.listed || !holds_title(v, s.request)) continue;
-                const auto down = step(v, -1);
-                if (down && (!cheapest || down->density < cheapest->density)) where = &v, cheapest = down;
-            }
-            if (!cheapest || cheapest->density >= density(s, -1, least) * kSwapGain) return;
-            kb -= cheapest->kb;
-            take(*where, *cheapest, false);
-        }
-    }
-
     // On news, own rates go towards the mark in proportion: if all directors do so the whole meets it. A step
     // that is more than the own part is taken by chance in that proportion: rounded up, every director with
     // one session there would fall on one word, and rounded down none would ever rise.
