--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -26,6 +26,9 @@
 constexpr Time kRiseEvery = 30000;
 // Links and uplinks are filled up to here: true rates and reports stray, and 1% short costs many points.
 constexpr double kMark = 0.95;
+// On a link not heard of lately so much more is left: it may be used above the mean as well as below, and
+// what is short costs many times what is idle.
+constexpr double kUnsure = 0.1;
 // A new session starts above the rung that earns most for its rate only where that takes no more than this
 // part of the room left: worth grows ever slower with rate, so equal rungs earn most, and a later step down
 // costs more than a later step up wins.
@@ -135,10 +138,11 @@
         seen = now;
         if (pool && !biased) pool->learn(now, use, directors);
     }
+    double trust(Time now) const { return std::clamp((kStale - (now - seen)) / (kStale - kFresh), 0.0, 1.0); }
     // Without word it is taken to be used as the mean.
     double use(Time now, int directors) const {
         if (total <= 0) return 0;
-        const double trust = std::clamp((kStale - (now - seen)) / (kStale - kFresh), 0.0, 1.0);
+        const double trust = this->trust(now);
         const double guess = pool ? pool->use(now, directors) * total * (directors - 1) / directors : 0;
         return std::max(0.0, own + trust * others + (1 - trust) * guess) / total;
     }
@@ -401,7 +405,7 @@
 
     // Kilobytes a second that the server's link and its rack's uplink still have under the mark.
     double link_room(const Server& v) const {
-        return (kMark - v.link.use(now_, set_.directors)) * v.link.total;
+        return (kMark - kUnsure * (1 - v.link.trust(now_)) - v.link.use(now_, set_.directors)) * v.link.total;
     }
     double room(Server& v) {
         Account& up = uplinks_[rack(v)];
