--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -75,11 +75,8 @@
 // A server that seems to have room for rises is asked for word of it this often: a rise wins several seconds
 // of worth, a probe costs a part of one.
 constexpr Time kRiseAsk = 10000;
-// Tenants' requests are counted over this window, or up to the longest so that our part of the quota is so
-// many requests: a few decide nothing. Over share means so far above the quota.
-constexpr Time kShareWindow = 5000, kLongestShare = 20000;
-constexpr double kShareCount = 5;
-constexpr Time kRemember = 60000;
+// Tenants' requests are counted over this window; over share means so far above the quota.
+constexpr Time kShareWindow = 5000, kRemember = 60000;
 constexpr double kOverShare = 1.2;
 // A drop to make room must cost less than this part of what it wins: the change itself costs.
 constexpr double kSwapGain = 0.8;
@@ -726,10 +723,8 @@
         if (!unseen) return verdict->second;
         viewers_.emplace_back(now_, q.viewer);
         auto& times = tenants_[q.tenant];
-        const double per_ms = set_.tenants[q.tenant].quota_per_s / 1000 / set_.directors;
-        const Time window = std::clamp(kShareCount / per_ms, kShareWindow, kLongestShare);
-        while (!times.empty() && times.front() < now_ - window) times.pop_front();
-        const double part = per_ms * window;
+        while (!times.empty() && times.front() < now_ - kShareWindow) times.pop_front();
+        const double part = set_.tenants[q.tenant].quota_per_s * kShareWindow / 1000 / set_.directors;
         verdict->second = times.size() >= kOverShare * part + 2;
         if (!verdict->second) times.push_back(now_);
         return verdict->second;
