--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -95,20 +95,19 @@
 // on most servers, which tells nothing of that server; over the whole fleet its sessions tell a little more,
 // and every word of any server counts.
 struct Pool {
+    int directors = 1;
     double total = 0, own = 0, sum = 0, words = 0;
     Time heard = 0;
 
     double fade(Time now) const { return std::exp((heard - now) / kPoolMemory); }
-    double guess(int directors) const { return total > 0 ? own * directors / total : 0; }
+    double guess() const { return total > 0 ? own * directors / total : 0; }
     // Words correct the guess; between them it moves as own load does, so that a surge shows at once.
-    void learn(Time now, double use, int directors) {
+    void learn(Time now, double use) {
         const double left = fade(now);
-        sum = sum * left + use - guess(directors), words = words * left + 1;
+        sum = sum * left + use - guess(), words = words * left + 1;
         heard = now;
     }
-    double use(Time now, int directors) const {
-        return std::max(0.0, guess(directors) + sum * fade(now) / (words * fade(now) + 1));
-    }
+    double use(Time now) const { return std::max(0.0, guess() + sum * fade(now) / (words * fade(now) + 1)); }
 };
 
 // Use of one shared thing (a server's streams, a link, an uplink): own part counted, the others' estimated.
@@ -132,18 +131,18 @@
     }
     // A report says that `use` of the total was asked for `lag` ago. Words that come of short servers only
     // (`biased`) tell nothing of the others.
-    void learn(Time now, double use, Time lag, double gain, int directors, bool biased = false) {
+    void learn(Time now, double use, Time lag, double gain, bool biased = false) {
         const double sample = use * total - own_at(now - lag);
         others = now - seen > kFresh ? sample : others + gain * (sample - others);
         seen = now;
-        if (pool && !biased) pool->learn(now, use, directors);
+        if (pool && !biased) pool->learn(now, use);
     }
     double trust(Time now) const { return std::clamp((kStale - (now - seen)) / (kStale - kFresh), 0.0, 1.0); }
     // Without word it is taken to be used as the mean.
-    double use(Time now, int directors) const {
+    double use(Time now) const {
         if (total <= 0) return 0;
         const double trust = this->trust(now);
-        const double guess = pool ? pool->use(now, directors) * total * (directors - 1) / directors : 0;
+        const double guess = pool ? pool->use(now) * total * (1 - 1.0 / pool->directors) : 0;
         return std::max(0.0, own + trust * others + (1 - trust) * guess) / total;
     }
 };
@@ -184,7 +183,10 @@
 
 class Director::Rules {
   public:
-    Rules(const Settings& settings, std::uint64_t seed) : set_(settings), random_(seed) {}
+    Rules(const Settings& settings, std::uint64_t seed) : set_(settings), random_(seed) {
+        set_.directors = std::max(1, set_.directors);
+        stream_pool_.directors = link_pool_.directors = uplink_pool_.directors = set_.directors;
+    }
 
     void handle(Time now, const Event& event, std::vector<Action>& actions) {
         now_ = now;
@@ -217,7 +219,7 @@
     // What a session takes of its rate. A live stream that all directors send to one server is shared with
     // theirs.
     double first_part(const Session& s) const {
-        return shares(s) ? set_.join_part + (1 - set_.join_part) / std::max(1, set_.directors) : 1;
+        return shares(s) ? set_.join_part + (1 - set_.join_part) / set_.directors : 1;
     }
     double rate(const Session& s, int rung) const { return set_.rung_kb[rung] * cls(s).rate_part; }
     int top(const Session& s) const {
@@ -231,9 +233,7 @@
         return it == servers_.end() ? nullptr : &it->second;
     }
 
-    double use(const Server& v) {
-        return std::max(v.link.use(now_, set_.directors), uplinks_[rack(v)].use(now_, set_.directors));
-    }
+    double use(const Server& v) { return std::max(v.link.use(now_), uplinks_[rack(v)].use(now_)); }
 
     // Counts own streams and rates of a server anew. Viewers of one live title, class and rung share a
     // stream.
@@ -266,14 +266,14 @@
             switch (set_.report_fields[k]) {
                 case ReportField::streams:
                     if (v.streams.total > 0)
-                        v.streams.learn(now_, value / v.streams.total, kReportLag, kGain, set_.directors);
+                        v.streams.learn(now_, value / v.streams.total, kReportLag, kGain);
                     break;
                 case ReportField::link:
                 case ReportField::link_capped:
-                    v.link.learn(now_, value, kReportLag, kGain, set_.directors);
+                    v.link.learn(now_, value, kReportLag, kGain);
                     break;
                 case ReportField::uplink:
-                    uplinks_[rack(v)].learn(now_, value, kReportLag, kGain / 2, set_.directors);
+                    uplinks_[rack(v)].learn(now_, value, kReportLag, kGain / 2);
                     break;
                 default:
                     continue;
@@ -297,12 +297,11 @@
         Account& up = uplinks_[rack(*v)];
         if (e.kind == NoteKind::delivered_share && e.value < 0.98) {
             const double asked = 1 / std::max(e.value, 0.2);
-            if (up.use(now_, set_.directors) < asked)
-                v->link.learn(now_, asked, set_.notes_late, 1, set_.directors, true);
+            if (up.use(now_) < asked) v->link.learn(now_, asked, set_.notes_late, 1, true);
         } else if (e.kind == NoteKind::link) {
-            v->link.learn(now_, e.value, set_.notes_late, kGain, set_.directors);
+            v->link.learn(now_, e.value, set_.notes_late, kGain);
         } else if (e.kind == NoteKind::uplink) {
-            up.learn(now_, e.value, set_.notes_late, kGain, set_.directors);
+            up.learn(now_, e.value, set_.notes_late, kGain);
         }
         v->news = true;
         wake(now_);
@@ -346,7 +345,7 @@
     // When the server's clock grants the next stream; kNever: at once.
     Time opens(Server& v) {
         if (v.streams.total <= 0) return kNever;
-        if (v.streams.use(now_, set_.directors) < kPacedFrom && use(v) < kPacedFrom) return kNever;
+        if (v.streams.use(now_) < kPacedFrom && use(v) < kPacedFrom) return kNever;
         const Time interval = std::max(kLeastInterval, view() / v.streams.total);
         if (now_ >= v.interval_end) v.interval_end = now_ + interval, v.granted = 0;
         const double most = std::max(1.0, std::floor(interval * v.streams.total / view()));
@@ -370,7 +369,7 @@
         const double age = std::clamp((now_ - v.cold_since) / std::max(1.0, set_.cold_time), 0.0, 1.0);
         const double warmth = set_.cold_from + (1 - set_.cold_from) * age * age;
         const double pace = std::max(1.0, v.streams.total) / std::max(1.0, set_.cold_time) * warmth *
-                            set_.fall_multiple * kColdPart / std::max(1, set_.directors);
+                            set_.fall_multiple * kColdPart / set_.directors;
         v.next_cold = now_ + part / pace;
     }
 
@@ -405,12 +404,12 @@
 
     // Kilobytes a second that the server's link and its rack's uplink still have under the mark.
     double link_room(const Server& v) const {
-        return (kMark - kUnsure * (1 - v.link.trust(now_)) - v.link.use(now_, set_.directors)) * v.link.total;
+        return (kMark - kUnsure * (1 - v.link.trust(now_)) - v.link.use(now_)) * v.link.total;
     }
     double room(Server& v) {
         Account& up = uplinks_[rack(v)];
         const double link = link_room(v);
-        return up.total > 0 ? std::min(link, (kMark - up.use(now_, set_.directors)) * up.total) : link;
+        return up.total > 0 ? std::min(link, (kMark - up.use(now_)) * up.total) : link;
     }
 
     // A number from 0 to 1 that all directors draw alike for a title and a server.
@@ -420,7 +419,7 @@
         return static_cast<double>(x >> 11) / 9007199254740992.0;
     }
     double value(Server& v, const Session& s) {
-        double value = 1 - std::max(use(v), v.streams.use(now_, set_.directors));
+        double value = 1 - std::max(use(v), v.streams.use(now_));
         // Directors that cannot speak to each other meet at one server for a live title, and at the next when
         // that is full: viewers of one stream add a part of its rate only.
         if (shares(s) && room(v) > rate(s, top(s)) * first_part(s))
@@ -449,7 +448,7 @@
                 const Time cold = cold_opens(v);
                 if (const int rung = joinable(v, s); rung > join_rung && cold <= now_)
                     joined = &v, join_rung = rung;
-                if (v.streams.total > 0 && v.streams.use(now_, set_.directors) >= 1) continue;
+                if (v.streams.total > 0 && v.streams.use(now_) >= 1) continue;
                 const Time open = std::max(opens(v), cold);
                 soonest = std::min(soonest, open);
                 const double val = value(v, s);
@@ -773,7 +772,7 @@
                     v->full_until = now_ + kFullRest;
                     Account& a = set_.refuses_from > 0 ? v->link : v->streams;
                     const double least = set_.refuses_from > 0 ? set_.refuses_from : 1;
-                    if (a.use(now_, set_.directors) < least) a.learn(now_, least, 0, 1, set_.directors);
+                    if (a.use(now_) < least) a.learn(now_, least, 0, 1);
                 }
                 if (e.outcome == Outcome::error) v->failing += kFailGain * (1 - v->failing);
             }
