--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -428,7 +428,7 @@
         // A doubtful server that has rested is tested by one session that may be sent again.
         if (v.strikes > 0 && cls(s).repeat == Repeat::harmless && s.attempts == 0) return 2;
         value -= kFailCost * v.failing + kStrikeCost * v.strikes + (s.tried.count(v.entry.id) ? 1 : 0);
-        return value + std::uniform_real_distribution<double>(0, 0.1)(random_);
+        return value + std::uniform_real_distribution<double>(0, 0.02)(random_);
     }
 
     // Decides on a session that is owed an answer and has no attempt out.
