--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -43,6 +43,21 @@
     EXPECT_TRUE(w.sessions.at(id).answered);
 }
 
+// The answer of a set-up is lost on its way, as a reset: the work may run, so it is neither repeated nor
+// refused.
+TEST(Answers, PaidIsFailedWhenItsAnswerIsLost) {
+    for (const Outcome lost : {Outcome::reset, Outcome::timed_out, Outcome::error}) {
+        Watch w = warm(small_site());
+        const SessionId id = w.ask(0);
+        ASSERT_TRUE(w.sent(id));
+        w.now += 300;
+        w.over(id, lost, false);
+        EXPECT_EQ(w.count<Send>(), 0);
+        EXPECT_EQ(w.count<Refuse>(), 0);
+        EXPECT_EQ(w.count<Fail>(), 1);
+    }
+}
+
 TEST(Answers, PaidGoesElsewhereAfterProofThatItNeverRan) {
     Watch w = warm(small_site());
     const SessionId id = w.ask(0);
@@ -133,6 +148,31 @@
     EXPECT_LE(sent, bearable);
 }
 
+// Servers leave in a wave and cold ones replace them: nothing goes to those that drain, little to the new
+// ones, the rest of the fleet carries on.
+TEST(Cold, AWaveOfReplacements) {
+    Settings s = small_site();
+    s.directors = 50;
+    Watch w(s);
+    std::vector<ServerEntry> wave;
+    for (int k = 0; k < 40; ++k) wave.push_back(entry(100 + k, k));
+    w.list(ListKind::full, wave);
+    wave.clear();
+    for (int k = 0; k < 15; ++k) wave.push_back(entry(100 + k, k, ServerState::draining));
+    for (int k = 0; k < 15; ++k) wave.push_back(entry(200 + k, k, ServerState::ready, w.now));
+    w.list(ListKind::changes, wave);
+    int old = 0, drained = 0, fresh = 0;
+    for (int k = 0; k < 12; ++k) {
+        const SessionId id = w.ask(1, k);
+        w.pass(50);
+        const ServerId to = w.sessions.at(id).sends > 0 ? w.sessions.at(id).server : 0;
+        (to >= 200 ? fresh : to >= 115 ? old : drained) += to > 0;
+    }
+    EXPECT_EQ(drained, 0);
+    EXPECT_LE(fresh, 3);
+    EXPECT_GE(old, 8);
+}
+
 TEST(Budget, SlidingWindowHolds) {
     Settings set = small_site();
     set.budget = BudgetSettings{0.1, 2, 10000};
