The seam, HTTP/1.1 and CMCD/CMSD hints: the ground that the running director stands on

Need: src/rules.cpp decides, but nothing can run it.

Change: src/io with two loops (libev, simulated time with an in-memory network), src/http (server and client on http-parser, its smuggling gaps closed: bare LF, both lengths, repeated lengths, folded lines, lax chunks), src/hints (RFC 8941 on PEGTL, CMCD and CMSD key tables), ivyfield hints decode|encode. Library and adapter build without the new packages (IVYFIELD_PROGRAM).

The module and adapter are untouched.

--- /dev/null
+++ b/src/hints/structured.cpp
@@ -0,0 +1,473 @@
+#include "hints/structured.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <stdexcept>
+#include <tao/pegtl.hpp>
+
+namespace ivyfield::hints {
+
+namespace {
+
+namespace peg = tao::pegtl;
+
+constexpr std::string_view kBase64 = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+// ---- The grammar, RFC 8941 section 3 ----
+
+struct lcalpha : peg::range<'a', 'z'> {};
+struct key_first : peg::sor<lcalpha, peg::one<'*'>> {};
+struct key_rest : peg::sor<lcalpha, peg::digit, peg::one<'_', '-', '.', '*'>> {};
+struct key : peg::seq<key_first, peg::star<key_rest>> {};
+
+struct sign : peg::opt<peg::one<'-'>> {};
+struct decimal
+    : peg::seq<sign, peg::rep_min_max<1, 12, peg::digit>, peg::one<'.'>, peg::rep_min_max<1, 3, peg::digit>,
+               peg::not_at<peg::sor<peg::digit, peg::one<'.'>>>> {};
+struct integer
+    : peg::seq<sign, peg::rep_min_max<1, 15, peg::digit>, peg::not_at<peg::sor<peg::digit, peg::one<'.'>>>> {
+};
+
+struct plain_char : peg::sor<peg::range<' ', '!'>, peg::range<'#', '['>, peg::range<']', '~'>> {};
+struct escaped_char : peg::one<'"', '\\'> {};
+struct escape : peg::seq<peg::one<'\\'>, escaped_char> {};
+struct string : peg::seq<peg::one<'"'>, peg::star<peg::sor<plain_char, escape>>, peg::one<'"'>> {};
+
+struct tchar
+    : peg::sor<peg::alnum,
+               peg::one<'!', '#', '$', '%', '&', '\'', '*', '+', '-', '.', '^', '_', '`', '|', '~'>> {};
+struct token : peg::seq<peg::sor<peg::alpha, peg::one<'*'>>, peg::star<peg::sor<tchar, peg::one<':', '/'>>>> {
+};
+
+struct base64 : peg::star<peg::sor<peg::alnum, peg::one<'+', '/', '='>>> {};
+struct bytes : peg::seq<peg::one<':'>, base64, peg::one<':'>> {};
+struct boolean_value : peg::one<'0', '1'> {};
+struct boolean : peg::seq<peg::one<'?'>, boolean_value> {};
+
+struct bare_item : peg::sor<decimal, integer, string, token, bytes, boolean> {};
+
+struct sp : peg::star<peg::one<' '>> {};
+struct ows : peg::star<peg::one<' ', '\t'>> {};
+struct parameter_key : key {};
+struct parameter_value : bare_item {};
+struct parameter : peg::seq<peg::one<';'>, sp, parameter_key, peg::opt<peg::one<'='>, parameter_value>> {};
+struct parameters : peg::star<parameter> {};
+struct item : peg::seq<bare_item, parameters> {};
+struct inner_open : peg::one<'('> {};
+struct inner_close : peg::one<')'> {};
+struct inner_list : peg::seq<inner_open, sp, peg::opt<peg::list<item, peg::plus<peg::one<' '>>>, sp>,
+                             inner_close, parameters> {};
+struct member : peg::sor<inner_list, item> {};
+struct comma : peg::seq<ows, peg::one<','>, ows> {};
+struct list_member : member {};
+struct list : peg::list<list_member, comma> {};
+
+struct member_key : key {};
+struct member_true : peg::success {};
+struct dict_member
+    : peg::seq<member_key, peg::sor<peg::seq<peg::one<'='>, member>, peg::seq<member_true, parameters>>> {};
+struct dictionary : peg::list<dict_member, comma> {};
+
+template <typename Rule>
+struct whole : peg::seq<sp, Rule, sp, peg::eof> {};
+
+// ---- What it makes ----
+
+struct Made {
+    BareItem bare = true;
+    std::string text;            // of the string under way
+    std::string parameter, key;  // names under way
+    std::vector<Item> items;     // of the member under way: one, or those of an inner list
+    Parameters* parameters = nullptr;
+    bool inner = false;
+    InnerList inner_list;
+    List list;
+    Dictionary dictionary;
+
+    void put_item(BareItem value) {
+        items.push_back({std::move(value), {}});
+        parameters = &items.back().parameters;
+    }
+    // Of duplicate keys all but the last are ignored (3.1.2).
+    void put_parameter(BareItem value) {
+        const auto same = [&](const auto& one) { return one.first == parameter; };
+        const auto it = std::find_if(parameters->begin(), parameters->end(), same);
+        if (it == parameters->end()) parameters->emplace_back(parameter, std::move(value));
+        else it->second = std::move(value);
+    }
+    Member take_member() {
+        Member made = inner ? Member(std::move(inner_list)) : Member(std::move(items.front()));
+        inner = false;
+        items.clear();
+        return made;
+    }
+};
+
+template <typename Rule>
+struct action : peg::nothing<Rule> {};
+
+template <>
+struct action<integer> {
+    template <typename In>
+    static void apply(const In& in, Made& m) {
+        std::int64_t value = 0;
+        std::from_chars(in.begin(), in.end(), value);
+        m.bare = value;
+    }
+};
+template <>
+struct action<decimal> {
+    template <typename In>
+    static void apply(const In& in, Made& m) {
+        std::string digits = in.string();
+        const std::size_t point = digits.find('.');
+        const std::size_t behind = digits.size() - point - 1;
+        digits.erase(point, 1).append(3 - behind, '0');
+        std::int64_t value = 0;
+        std::from_chars(digits.data(), digits.data() + digits.size(), value);
+        m.bare = Decimal{value};
+    }
+};
+template <>
+struct action<plain_char> {
+    template <typename In>
+    static void apply(const In& in, Made& m) {
+        m.text.push_back(*in.begin());
+    }
+};
+template <>
+struct action<escaped_char> : action<plain_char> {};
+template <>
+struct action<string> {
+    static void apply0(Made& m) { m.bare = std::move(m.text), m.text.clear(); }
+};
+template <>
+struct action<token> {
+    template <typename In>
+    static void apply(const In& in, Made& m) {
+        m.bare = Token{in.string()};
+    }
+};
+template <>
+struct action<boolean_value> {
+    template <typename In>
+    static void apply(const In& in, Made& m) {
+        m.bare = *in.begin() == '1';
+    }
+};
+template <>
+struct action<base64> {
+    template <typename In>
+    static bool apply(const In& in, Made& m) {
+        std::string out;
+        unsigned bits = 0;
+        int have = 0, padding = 0;
+        for (const char c : in.string_view()) {
+            if (c == '=') {
+                padding += 1;
+                continue;
+            }
+            if (padding) return false;
+            bits = (bits << 6 | static_cast<unsigned>(kBase64.find(c))) & 0xffffff;
+            have += 6;
+            if (have >= 8) have -= 8, out.push_back(static_cast<char>(bits >> have & 0xff));
+        }
+        if (padding > 2) return false;
+        m.bare = Bytes{out};
+        return true;
+    }
+};
+template <>
+struct action<bare_item> {
+    static void apply0(Made& m) { m.put_item(m.bare); }
+};
+template <>
+struct action<parameter_key> {
+    template <typename In>
+    static void apply(const In& in, Made& m) {
+        m.parameter = in.string();
+        m.put_parameter(true);
+    }
+};
+template <>
+struct action<parameter_value> {
+    static void apply0(Made& m) { m.put_parameter(m.bare); }
+};
+template <>
+struct action<inner_open> {
+    static void apply0(Made& m) { m.inner = true, m.inner_list = {}; }
+};
+template <>
+struct action<inner_close> {
+    static void apply0(Made& m) {
+        m.inner_list.items = std::move(m.items);
+        m.items.clear();
+        m.parameters = &m.inner_list.parameters;
+    }
+};
+template <>
+struct action<list_member> {
+    static void apply0(Made& m) { m.list.push_back(m.take_member()); }
+};
+template <>
+struct action<member_key> {
+    template <typename In>
+    static void apply(const In& in, Made& m) {
+        m.key = in.string();
+    }
+};
+template <>
+struct action<member_true> {
+    static void apply0(Made& m) { m.put_item(true); }
+};
+template <>
+struct action<dict_member> {
+    static void apply0(Made& m) {
+        Member made = m.take_member();
+        const auto same = [&](const auto& one) { return one.first == m.key; };
+        const auto it = std::find_if(m.dictionary.begin(), m.dictionary.end(), same);
+        if (it == m.dictionary.end()) m.dictionary.emplace_back(m.key, std::move(made));
+        else it->second = std::move(made);
+    }
+};
+
+// Parses the whole of the text as the rule, with spaces around it as 4.2 allows.
+template <typename Rule>
+std::optional<Made> parse(std::string_view text) {
+    Made made;
+    peg::memory_input<peg::tracking_mode::lazy> in(text.data(), text.size(), "field");
+    if (!peg::parse<whole<Rule>, action>(in, made)) return std::nullopt;
+    return made;
+}
+
+std::string_view trim(std::string_view s) {
+    while (!s.empty() && (s.front() == ' ' || s.front() == '\t')) s.remove_prefix(1);
+    while (!s.empty() && (s.back() == ' ' || s.back() == '\t')) s.remove_suffix(1);
+    return s;
+}
+
+// Cuts at each separator that stands outside of quotes and parentheses. A quote that never closes swallows
+// all behind it: where the member ends can't be told any more.
+std::vector<std::string_view> split(std::string_view text, char separator) {
+    std::vector<std::string_view> out;
+    std::size_t begin = 0;
+    int depth = 0;
+    bool quoted = false;
+    for (std::size_t k = 0; k < text.size(); ++k) {
+        const char c = text[k];
+        if (quoted) {
+            if (c == '\\') ++k;
+            else if (c == '"') quoted = false;
+        } else if (c == '"') {
+            quoted = true;
+        } else if (c == '(') {
+            depth += 1;
+        } else if (c == ')') {
+            depth -= depth > 0;
+        } else if (c == separator && depth == 0) {
+            out.push_back(trim(text.substr(begin, k - begin)));
+            begin = k + 1;
+        }
+    }
+    out.push_back(trim(text.substr(std::min(begin, text.size()))));
+    return out;
+}
+
+std::string why_not_value(std::string_view text) {
+    if (text.empty()) return "no value behind '='";
+    if (text.front() == '"') {
+        for (const char c : text)
+            if (static_cast<unsigned char>(c) < 0x20 || static_cast<unsigned char>(c) > 0x7e)
+                return "a string with a character that is not printable ASCII";
+        return "a string that is not closed or wrongly escaped";
+    }
+    if ((text.front() >= '0' && text.front() <= '9') || text.front() == '-') return "not a number";
+    return "not a value of any type";
+}
+
+// "key" or "key=value" apart; the key may be malformed.
+std::pair<std::string_view, std::optional<std::string_view>> cut_key(std::string_view text) {
+    const std::size_t eq = text.find('=');
+    if (eq == std::string_view::npos) return {text, std::nullopt};
+    return {text.substr(0, eq), text.substr(eq + 1)};
+}
+
+std::string shorten(std::string_view text) {
+    constexpr std::size_t most = 64;
+    return std::string(text.substr(0, most));
+}
+
+template <typename... Ts>
+struct overloaded : Ts... {
+    using Ts::operator()...;
+};
+template <typename... Ts>
+overloaded(Ts...) -> overloaded<Ts...>;
+
+std::string base64_of(const std::string& data) {
+    std::string out;
+    for (std::size_t k = 0; k < data.size(); k += 3) {
+        unsigned bits = 0;
+        const std::size_t n = std::min<std::size_t>(3, data.size() - k);
+        for (std::size_t j = 0; j < 3; ++j)
+            bits = bits << 8 | (j < n ? static_cast<unsigned char>(data[k + j]) : 0u);
+        for (std::size_t j = 0; j < 4; ++j) out.push_back(j <= n ? kBase64[bits >> (18 - 6 * j) & 63] : '=');
+    }
+    return out;
+}
+
+std::string serialize_parameters(const Parameters& parameters) {
+    std::string out;
+    for (const auto& [name, value] : parameters) {
+        if (!valid_key(name)) throw std::invalid_argument("not a parameter's name: \"" + name + "\"");
+        out += ";" + name;
+        const bool* flag = std::get_if<bool>(&value);
+        if (!flag || !*flag) out += "=" + serialize(value);
+    }
+    return out;
+}
+std::string serialize_inner(const InnerList& inner) {
+    std::string out = "(";
+    for (std::size_t k = 0; k < inner.items.size(); ++k) out += (k ? " " : "") + serialize(inner.items[k]);
+    return out + ")" + serialize_parameters(inner.parameters);
+}
+
+}  // namespace
+
+bool valid_key(std::string_view text) {
+    peg::memory_input<peg::tracking_mode::lazy> in(text.data(), text.size(), "key");
+    return peg::parse<peg::seq<key, peg::eof>>(in);
+}
+
+std::optional<Item> parse_item(std::string_view text) {
+    auto made = parse<item>(text);
+    if (!made) return std::nullopt;
+    return std::move(made->items.front());
+}
+std::optional<List> parse_list(std::string_view text) {
+    if (trim(text).empty()) return List{};
+    auto made = parse<list>(text);
+    if (!made) return std::nullopt;
+    return std::move(made->list);
+}
+std::optional<Dictionary> parse_dictionary(std::string_view text) {
+    if (trim(text).empty()) return Dictionary{};
+    auto made = parse<dictionary>(text);
+    if (!made) return std::nullopt;
+    return std::move(made->dictionary);
+}
+
+std::string serialize(const BareItem& value) {
+    return std::visit(
+        overloaded{
+            [](std::int64_t v) {
+                if (v < -999999999999999 || v > 999999999999999)
+                    throw std::invalid_argument("an integer of more than 15 digits: " + std::to_string(v));
+                return std::to_string(v);
+            },
+            [](const Decimal& v) {
+                const std::int64_t size = std::abs(v.thousandths);
+                if (size > 999999999999999)
+                    throw std::invalid_argument("a decimal of more than 12 digits before the point");
+                std::string behind = std::to_string(1000 + size % 1000).substr(1);
+                while (behind.size() > 1 && behind.back() == '0') behind.pop_back();
+                return (v.thousandths < 0 ? "-" : "") + std::to_string(size / 1000) + "." + behind;
+            },
+            [](const std::string& v) {
+                std::string out = "\"";
+                for (const char c : v) {
+                    const auto byte = static_cast<unsigned char>(c);
+                    if (byte < 0x20 || byte > 0x7e)
+                        throw std::invalid_argument("a string with a character that is not printable ASCII");
+                    if (c == '"' || c == '\\') out.push_back('\\');
+                    out.push_back(c);
+                }
+                return out + "\"";
+            },
+            [](const Token& v) {
+                peg::memory_input<peg::tracking_mode::lazy> in(v.text.data(), v.text.size(), "token");
+                if (!peg::parse<peg::seq<token, peg::eof>>(in))
+                    throw std::invalid_argument("not a token: \"" + v.text + "\"");
+                return v.text;
+            },
+            [](const Bytes& v) { return ":" + base64_of(v.data) + ":"; },
+            [](bool v) { return std::string(v ? "?1" : "?0"); },
+        },
+        value);
+}
+std::string serialize(const Item& value) {
+    return serialize(value.value) + serialize_parameters(value.parameters);
+}
+std::string serialize(const List& value) {
+    std::string out;
+    for (const Member& m : value) {
+        if (!out.empty()) out += ", ";
+        const Item* one = std::get_if<Item>(&m);
+        out += one ? serialize(*one) : serialize_inner(std::get<InnerList>(m));
+    }
+    return out;
+}
+std::string serialize(const Dictionary& value) {
+    std::string out;
+    for (const auto& [name, m] : value) {
+        if (!valid_key(name)) throw std::invalid_argument("not a dictionary's key: \"" + name + "\"");
+        if (!out.empty()) out += ", ";
+        out += name;
+        const Item* one = std::get_if<Item>(&m);
+        const bool* flag = one ? std::get_if<bool>(&one->value) : nullptr;
+        if (flag && *flag) out += serialize_parameters(one->parameters);
+        else out += "=" + (one ? serialize(*one) : serialize_inner(std::get<InnerList>(m)));
+    }
+    return out;
+}
+
+std::vector<DictionaryPiece> split_dictionary(std::string_view text) {
+    std::vector<DictionaryPiece> out;
+    if (trim(text).empty()) return out;
+    for (const std::string_view piece : split(text, ',')) {
+        DictionaryPiece one;
+        one.text = shorten(piece);
+        const auto [name, value] = cut_key(piece);
+        one.key = shorten(name.substr(0, name.find(';')));
+        if (piece.empty()) {
+            one.why = "nothing between two commas";
+        } else if (!valid_key(one.key)) {
+            one.why = "not a key";
+        } else if (auto made = parse<dict_member>(piece)) {
+            one.member = std::move(made->dictionary.front().second);
+        } else {
+            one.why = value ? why_not_value(*value) : "not a key";
+        }
+        out.push_back(std::move(one));
+    }
+    return out;
+}
+
+std::vector<ListPiece> split_list(std::string_view text) {
+    std::vector<ListPiece> out;
+    if (trim(text).empty()) return out;
+    for (const std::string_view piece : split(text, ',')) {
+        ListPiece one;
+        one.text = shorten(piece);
+        const auto parts = split(piece, ';');
+        if (auto made = parse<bare_item>(parts.front())) one.value = std::move(made->bare);
+        else one.why = piece.empty() ? "nothing between two commas" : why_not_value(parts.front());
+        for (std::size_t k = 1; k < parts.size(); ++k) {
+            ParameterPiece p;
+            p.text = shorten(parts[k]);
+            const auto [name, value] = cut_key(parts[k]);
+            p.key = shorten(name);
+            if (!valid_key(name)) p.why = parts[k].empty() ? "nothing between two semicolons" : "not a key";
+            else if (!value) p.value = true;
+            else if (auto made = parse<bare_item>(*value); made && trim(*value) == *value)
+                p.value = std::move(made->bare);
+            else p.why = why_not_value(*value);
+            one.parameters.push_back(std::move(p));
+        }
+        out.push_back(std::move(one));
+    }
+    return out;
+}
+
+}  // namespace ivyfield::hints
--- /dev/null
+++ b/src/http/message.cpp
@@ -0,0 +1,201 @@
+#include "http/message.hpp"
+
+#include <algorithm>
+
+namespace ivyfield::http {
+
+namespace {
+
+char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
+int hex(char c) {
+    if (c >= '0' && c <= '9') return c - '0';
+    c = lower(c);
+    return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+std::string_view trim(std::string_view s) {
+    while (!s.empty() && (s.front() == ' ' || s.front() == '\t')) s.remove_prefix(1);
+    while (!s.empty() && (s.back() == ' ' || s.back() == '\t')) s.remove_suffix(1);
+    return s;
+}
+
+}  // namespace
+
+bool same_name(std::string_view a, std::string_view b) {
+    return a.size() == b.size() &&
+           std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
+}
+
+void Headers::add(std::string name, std::string value) {
+    fields_.emplace_back(std::move(name), std::move(value));
+}
+void Headers::set(std::string_view name, std::string value) {
+    fields_.erase(std::remove_if(fields_.begin(), fields_.end(),
+                                 [&](const Field& f) { return same_name(f.first, name); }),
+                  fields_.end());
+    add(std::string(name), std::move(value));
+}
+std::optional<std::string_view> Headers::get(std::string_view name) const {
+    for (const Field& f : fields_)
+        if (same_name(f.first, name)) return f.second;
+    return std::nullopt;
+}
+std::string Headers::all(std::string_view name) const {
+    std::string out;
+    for (const Field& f : fields_) {
+        if (!same_name(f.first, name) || f.second.empty()) continue;
+        if (!out.empty()) out += ", ";
+        out += f.second;
+    }
+    return out;
+}
+std::size_t Headers::count(std::string_view name) const {
+    return std::count_if(fields_.begin(), fields_.end(),
+                         [&](const Field& f) { return same_name(f.first, name); });
+}
+bool Headers::has_token(std::string_view name, std::string_view token) const {
+    for (const Field& f : fields_) {
+        if (!same_name(f.first, name)) continue;
+        std::string_view rest = f.second;
+        while (!rest.empty()) {
+            const std::size_t comma = std::min(rest.find(','), rest.size());
+            if (same_name(trim(rest.substr(0, comma)), token)) return true;
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    return false;
+}
+
+std::string_view Request::path() const {
+    const std::string_view t = target;
+    return t.substr(0, t.find_first_of("?#"));
+}
+std::string_view Request::query() const {
+    const std::string_view t = std::string_view(target).substr(0, target.find('#'));
+    const std::size_t mark = t.find('?');
+    return mark == std::string_view::npos ? std::string_view{} : t.substr(mark + 1);
+}
+
+const char* reason_phrase(int status) {
+    switch (status) {
+        case 100:
+            return "Continue";
+        case 101:
+            return "Switching Protocols";
+        case 200:
+            return "OK";
+        case 201:
+            return "Created";
+        case 202:
+            return "Accepted";
+        case 204:
+            return "No Content";
+        case 302:
+            return "Found";
+        case 304:
+            return "Not Modified";
+        case 307:
+            return "Temporary Redirect";
+        case 400:
+            return "Bad Request";
+        case 403:
+            return "Forbidden";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 408:
+            return "Request Timeout";
+        case 409:
+            return "Conflict";
+        case 410:
+            return "Gone";
+        case 411:
+            return "Length Required";
+        case 413:
+            return "Content Too Large";
+        case 414:
+            return "URI Too Long";
+        case 417:
+            return "Expectation Failed";
+        case 429:
+            return "Too Many Requests";
+        case 431:
+            return "Request Header Fields Too Large";
+        case 500:
+            return "Internal Server Error";
+        case 501:
+            return "Not Implemented";
+        case 502:
+            return "Bad Gateway";
+        case 503:
+            return "Service Unavailable";
+        case 504:
+            return "Gateway Timeout";
+        case 505:
+            return "HTTP Version Not Supported";
+        default:
+            return "Status";
+    }
+}
+
+std::optional<std::string> percent_decode(std::string_view text, bool plus_is_space) {
+    std::string out;
+    out.reserve(text.size());
+    for (std::size_t k = 0; k < text.size(); ++k) {
+        if (text[k] == '%') {
+            if (k + 2 >= text.size()) return std::nullopt;
+            const int high = hex(text[k + 1]), low = hex(text[k + 2]);
+            if (high < 0 || low < 0) return std::nullopt;
+            out.push_back(static_cast<char>(high * 16 + low));
+            k += 2;
+        } else {
+            out.push_back(plus_is_space && text[k] == '+' ? ' ' : text[k]);
+        }
+    }
+    return out;
+}
+std::string percent_encode(std::string_view text) {
+    static constexpr char digits[] = "0123456789ABCDEF";
+    std::string out;
+    for (const char c : text) {
+        const bool unreserved = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                                c == '-' || c == '.' || c == '_' || c == '~';
+        if (unreserved) {
+            out.push_back(c);
+        } else {
+            const auto byte = static_cast<unsigned char>(c);
+            out.push_back('%'), out.push_back(digits[byte >> 4]), out.push_back(digits[byte & 15]);
+        }
+    }
+    return out;
+}
+
+std::vector<std::pair<std::string, std::string>> query_arguments(std::string_view query) {
+    std::vector<std::pair<std::string, std::string>> out;
+    while (!query.empty()) {
+        const std::size_t end = std::min(query.find('&'), query.size());
+        const std::string_view one = query.substr(0, end);
+        query.remove_prefix(std::min(end + 1, query.size()));
+        const std::size_t eq = std::min(one.find('='), one.size());
+        auto key = percent_decode(one.substr(0, eq), true);
+        // A '+' stays in a value: CMCD's payload is percent-encoded, not a form.
+        auto value = percent_decode(one.substr(std::min(eq + 1, one.size())));
+        if (key && value && !key->empty()) out.emplace_back(std::move(*key), std::move(*value));
+    }
+    return out;
+}
+std::optional<std::string> query_argument(std::string_view query, std::string_view name) {
+    for (auto& [key, value] : query_arguments(query))
+        if (key == name) return value;
+    return std::nullopt;
+}
+
+Response plain(int status, std::string_view text) {
+    Response r;
+    r.status = status;
+    r.headers.add("Content-Type", "text/plain; charset=utf-8");
+    r.body = std::string(text) + "\n";
+    return r;
+}
+
+}  // namespace ivyfield::http
--- /dev/null
+++ b/src/http/parser.cpp
@@ -0,0 +1,339 @@
+#include "http/parser.hpp"
+
+#include <http_parser.h>
+
+#include <algorithm>
+
+namespace ivyfield::http {
+
+namespace {
+
+// Walks beside http-parser along a chunked body and lets nothing pass but CRLF line ends and short lines.
+class ChunkGuard {
+  public:
+    void begin() { state_ = State::size, left_ = 0, line_ = 0, digits_ = 0, trailer_ = 0; }
+    // Empty: fine so far.
+    const char* see(std::string_view bytes, const ParseLimits& limits) {
+        for (std::size_t k = 0; k < bytes.size(); ++k) {
+            const char c = bytes[k];
+            switch (state_) {
+                case State::size:
+                case State::extension:
+                    if (++line_ > limits.chunk_line) return "a chunk's line is too long";
+                    if (c == '\r') {
+                        if (digits_ == 0) return "a chunk has no size";
+                        state_ = State::size_lf;
+                    } else if (c == '\n') {
+                        return "a chunk's line ends with a bare LF";
+                    } else if (state_ == State::size && c != ';') {
+                        const int d = c >= '0' && c <= '9'   ? c - '0'
+                                      : c >= 'a' && c <= 'f' ? c - 'a' + 10
+                                      : c >= 'A' && c <= 'F' ? c - 'A' + 10
+                                                             : -1;
+                        if (d < 0 || ++digits_ > 15) return "a chunk's size is not a hexadecimal number";
+                        left_ = left_ * 16 + static_cast<std::uint64_t>(d);
+                    } else {
+                        state_ = State::extension;
+                    }
+                    break;
+                case State::size_lf:
+                    if (c != '\n') return "a chunk's line has a CR without LF";
+                    last_ = left_ == 0;
+                    state_ = last_ ? State::trailer : State::data;
+                    line_ = 0;
+                    break;
+                case State::data: {
+                    const std::uint64_t n = std::min<std::uint64_t>(left_, bytes.size() - k);
+                    left_ -= n;
+                    k += static_cast<std::size_t>(n) - 1;
+                    if (left_ == 0) state_ = State::data_cr;
+                    break;
+                }
+                case State::data_cr:
+                    if (c != '\r') return "a chunk is longer than its size";
+                    state_ = State::data_lf;
+                    break;
+                case State::data_lf:
+                    if (c != '\n') return "a chunk is longer than its size";
+                    state_ = State::size, left_ = 0, line_ = 0, digits_ = 0;
+                    break;
+                case State::trailer:
+                    if (++trailer_ > limits.head) return "trailers are too long";
+                    if (c == '\r') state_ = State::trailer_lf;
+                    else if (c == '\n') return "a trailer ends with a bare LF";
+                    else line_ += 1;
+                    break;
+                case State::trailer_lf:
+                    if (c != '\n') return "a trailer has a CR without LF";
+                    if (line_ == 0) return nullptr;  // the message's end; what follows is the next one's
+                    line_ = 0;
+                    state_ = State::trailer;
+                    break;
+            }
+        }
+        return nullptr;
+    }
+
+  private:
+    enum class State { size, extension, size_lf, data, data_cr, data_lf, trailer, trailer_lf };
+    State state_ = State::size;
+    std::uint64_t left_ = 0;
+    std::size_t line_ = 0, digits_ = 0, trailer_ = 0;
+    bool last_ = false;
+};
+
+bool is_token(char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+}  // namespace
+
+struct Parser::Impl {
+    enum class Phase { head, body, failed };
+    explicit Impl(Parser& owner) : self(owner) {}
+
+    static Impl& of(http_parser* p) { return *static_cast<Impl*>(p->data); }
+    static int on_field(http_parser* p, const char* at, std::size_t n) {
+        Impl& i = of(p);
+        if (i.trailers) return 0;  // trailers are read and left out: nothing here depends on them
+        if (i.value_last) i.headers().add("", "");
+        i.value_last = false;
+        i.headers().fields().back().first.append(at, n);
+        return 0;
+    }
+    static int on_value(http_parser* p, const char* at, std::size_t n) {
+        Impl& i = of(p);
+        if (i.trailers) return 0;
+        i.value_last = true;
+        i.headers().fields().back().second.append(at, n);
+        return 0;
+    }
+    static int on_url(http_parser* p, const char* at, std::size_t n) {
+        of(p).self.request_.target.append(at, n);
+        return 0;
+    }
+    static int on_headers_complete(http_parser* p) {
+        Impl& i = of(p);
+        i.trailers = true;
+        i.self.minor_ = p->http_minor;
+        i.self.keep_alive_ = http_should_keep_alive(p) != 0;
+        if (i.self.kind_ == Kind::request)
+            i.self.request_.method = http_method_str(static_cast<http_method>(p->method));
+        else i.self.response_.status = p->status_code;
+        if (!i.self.check_fields()) return -1;
+        if (p->upgrade) i.upgrade = true;
+        if (i.self.head_sink_) i.self.head_sink_();
+        // 1: no body (the answer to HEAD). Upgrades are not ours to follow here: the message is read plainly.
+        if (i.self.kind_ == Kind::response && i.no_body) return 1;
+        return 0;
+    }
+    static int on_body(http_parser* p, const char* at, std::size_t n) {
+        Impl& i = of(p);
+        if (i.self.sink_) {
+            i.self.sink_({at, n});
+            return 0;
+        }
+        std::string& body = i.self.kind_ == Kind::request ? i.self.request_.body : i.self.response_.body;
+        if (body.size() + n > i.self.limits_.body) {
+            i.self.fail(413, "the body is longer than " + std::to_string(i.self.limits_.body) + " bytes");
+            return -1;
+        }
+        body.append(at, n);
+        return 0;
+    }
+    static int on_message_complete(http_parser* p) {
+        of(p).complete = true;
+        http_parser_pause(p, 1);
+        return 0;
+    }
+    static const http_parser_settings& settings() {
+        static const http_parser_settings table = [] {
+            http_parser_settings s;
+            http_parser_settings_init(&s);
+            s.on_header_field = on_field;
+            s.on_header_value = on_value;
+            s.on_url = on_url;
+            s.on_headers_complete = on_headers_complete;
+            s.on_body = on_body;
+            s.on_message_complete = on_message_complete;
+            return s;
+        }();
+        return table;
+    }
+    Headers& headers() {
+        return self.kind_ == Kind::request ? self.request_.headers : self.response_.headers;
+    }
+    void begin() {
+        http_parser_init(&parser, self.kind_ == Kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+        parser.data = this;
+        phase = Phase::head;
+        value_last = true;
+        complete = trailers = upgrade = chunked = false;
+        self.head_.clear();
+        self.request_ = Request{};
+        self.request_.target.clear();
+        self.response_ = Response{};
+    }
+
+    Parser& self;
+    http_parser parser{};
+    Phase phase = Phase::head;
+    ChunkGuard guard;
+    bool value_last = true, complete = false, trailers = false, no_body = false, upgrade = false;
+    bool chunked = false;
+};
+
+Parser::Parser(Kind kind, const ParseLimits& limits)
+    : kind_(kind), limits_(limits), impl_(std::make_unique<Impl>(*this)) {
+    impl_->begin();
+    // Our own limit is the stricter one; the library's is one for the whole process.
+    http_parser_set_max_header_size(0xffffff);
+}
+Parser::~Parser() = default;
+
+void Parser::expect_no_body(bool on) { impl_->no_body = on; }
+bool Parser::idle() const { return impl_->phase == Impl::Phase::head && head_.empty(); }
+bool Parser::in_body() const { return impl_->phase == Impl::Phase::body; }
+bool Parser::expects_continue() const {
+    return kind_ == Kind::request && minor_ >= 1 && request_.headers.has_token("Expect", "100-continue");
+}
+
+Parser::Status Parser::fail(int status, std::string why) {
+    if (!failed_) error_ = {status, std::move(why)};
+    failed_ = true;
+    impl_->phase = Impl::Phase::failed;
+    return Status::error;
+}
+
+// The head as bytes: line ends, lengths, names.
+bool Parser::check_head(std::string_view head) {
+    bool first = true;
+    std::size_t fields = 0;
+    while (!head.empty()) {
+        const std::size_t end = head.find("\r\n");
+        const std::string_view line = head.substr(0, end);
+        head.remove_prefix(end + 2);
+        for (const char c : line) {
+            const auto byte = static_cast<unsigned char>(c);
+            if (c == '\n') return fail(400, "a line ends with a bare LF"), false;
+            if (c == '\r') return fail(400, "a CR stands alone in a line"), false;
+            if ((byte < 0x20 && c != '\t') || byte == 0x7f)
+                return fail(400, "a control character in the head"), false;
+        }
+        if (first) {
+            first = false;
+            if (line.size() > limits_.line) return fail(414, "the first line is too long"), false;
+            continue;
+        }
+        if (line.empty()) continue;
+        if (line[0] == ' ' || line[0] == '\t') return fail(400, "a folded header line"), false;
+        const std::size_t colon = line.find(':');
+        if (colon == 0 || colon == std::string_view::npos)
+            return fail(400, "a header line without a name"), false;
+        if (!std::all_of(line.begin(), line.begin() + colon, is_token))
+            return fail(400, "a header's name has a character that names don't have"), false;
+        if (++fields > limits_.fields) return fail(431, "too many headers"), false;
+    }
+    return true;
+}
+
+// The head as read: what tells where the message ends must be said once and in one way.
+bool Parser::check_fields() {
+    const Headers& h = impl_->headers();
+    const std::size_t lengths = h.count("Content-Length"), codings = h.count("Transfer-Encoding");
+    if (lengths > 1) return fail(400, "Content-Length more than once"), false;
+    if (lengths && codings) return fail(400, "both Content-Length and Transfer-Encoding"), false;
+    if (lengths) {
+        const std::string_view value = *h.get("Content-Length");
+        if (value.empty() ||
+            !std::all_of(value.begin(), value.end(), [](char c) { return c >= '0' && c <= '9'; }))
+            return fail(400, "Content-Length is not a plain number"), false;
+        if (!sink_ && !impl_->no_body &&
+            (value.size() > 15 || std::stoull(std::string(value)) > limits_.body))
+            return fail(413, "the body is longer than " + std::to_string(limits_.body) + " bytes"), false;
+    }
+    if (codings > 1 || (codings && !same_name(*h.get("Transfer-Encoding"), "chunked")))
+        return fail(kind_ == Kind::request ? 501 : 400, "a transfer coding other than one \"chunked\""),
+               false;
+    if (codings && minor_ == 0) return fail(400, "Transfer-Encoding in HTTP/1.0"), false;
+    impl_->chunked = codings > 0;
+    if (impl_->parser.http_major != 1) return fail(505, "not HTTP/1.0 or HTTP/1.1"), false;
+    if (kind_ == Kind::request) {
+        const std::size_t hosts = h.count("Host");
+        if (hosts > 1 || (hosts == 0 && minor_ >= 1))
+            return fail(400, hosts ? "Host more than once" : "no Host"), false;
+    }
+    return true;
+}
+
+Parser::Status Parser::feed(std::string_view& bytes) {
+    if (failed_) return Status::error;
+    if (impl_->complete) impl_->begin();
+    const auto run = [&](std::string_view part) {
+        const std::size_t n =
+            http_parser_execute(&impl_->parser, &Impl::settings(), part.data(), part.size());
+        const auto code = static_cast<http_errno>(impl_->parser.http_errno);
+        if (failed_) return n;
+        if (impl_->complete) return n;
+        if (code != HPE_OK && code != HPE_PAUSED)
+            fail(400, std::string("malformed: ") + http_errno_description(code));
+        else if (n < part.size() && !impl_->upgrade) fail(400, "malformed: bytes that fit nothing");
+        return n;
+    };
+    if (impl_->phase == Impl::Phase::head) {
+        std::size_t had = head_.size();
+        const std::size_t take = std::min(bytes.size(), limits_.head + 1 - std::min(limits_.head, had));
+        head_.append(bytes.substr(0, take));
+        // A client may send an empty line before a request (RFC 9112, 2.2).
+        std::size_t stripped = 0;
+        while (head_.compare(stripped, 2, "\r\n") == 0) stripped += 2;
+        head_.erase(0, stripped);
+        const std::size_t from = had < stripped + 3 ? 0 : had - stripped - 3;
+        const std::size_t end = head_.find("\r\n\r\n", from);
+        if (std::min(head_.find("\r\n"), head_.size()) > limits_.line)
+            return fail(414, "the first line is too long");
+        if (end == std::string::npos) {
+            // A bare LF would keep the end of the head from ever being seen.
+            for (std::size_t lf = head_.find('\n', from); lf != std::string::npos;
+                 lf = head_.find('\n', lf + 1))
+                if (lf == 0 || head_[lf - 1] != '\r') return fail(400, "a line ends with a bare LF");
+            if (head_.size() >= limits_.head) return fail(431, "the head is too long");
+            bytes.remove_prefix(take);
+            return Status::need_more;
+        }
+        bytes.remove_prefix(take - (head_.size() - (end + 4)));
+        head_.resize(end + 4);
+        if (head_.size() > limits_.head) return fail(431, "the head is too long");
+        if (!check_head(head_)) return Status::error;
+        const std::string head = std::move(head_);
+        head_.clear();
+        impl_->phase = Impl::Phase::body;
+        run(head);
+        if (failed_) return Status::error;
+        impl_->guard.begin();
+    }
+    if (!impl_->complete && !bytes.empty()) {
+        if (impl_->chunked)
+            if (const char* why = impl_->guard.see(bytes, limits_)) return fail(400, why);
+        const std::size_t n = run(bytes);
+        if (failed_) return Status::error;
+        bytes.remove_prefix(n);
+    }
+    if (!impl_->complete) return Status::need_more;
+    impl_->phase = Impl::Phase::head;
+    return Status::message;
+}
+
+Parser::Status Parser::finish() {
+    if (failed_) return Status::error;
+    if (idle() || (impl_->complete && head_.empty())) return Status::need_more;
+    if (impl_->phase == Impl::Phase::head) return fail(400, "the connection ended inside a head");
+    http_parser_execute(&impl_->parser, &Impl::settings(), nullptr, 0);
+    if (!impl_->complete) return fail(400, "the connection ended inside a message");
+    keep_alive_ = false;
+    impl_->phase = Impl::Phase::head;
+    return Status::message;
+}
+
+}  // namespace ivyfield::http
--- /dev/null
+++ b/tests/http/parser_test.cpp
@@ -0,0 +1,149 @@
+// Framing: what is one message, and what is refused because two readers could disagree.
+#include "http/parser.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace ivyfield::http;
+
+namespace {
+
+struct Read {
+    std::vector<Request> requests;
+    ParseError error;
+    bool failed = false, partial = false;
+};
+Read read(std::string_view bytes, std::size_t piece = std::string::npos, ParseLimits limits = {}) {
+    Parser parser(Parser::Kind::request, limits);
+    Read out;
+    while (!bytes.empty() && !out.failed) {
+        std::string_view now = bytes.substr(0, piece);
+        bytes.remove_prefix(now.size());
+        while (!now.empty()) {
+            const auto status = parser.feed(now);
+            if (status == Parser::Status::message) out.requests.push_back(parser.request());
+            if (status == Parser::Status::error) {
+                out.failed = true, out.error = parser.error();
+                break;
+            }
+        }
+    }
+    out.partial = !out.failed && !parser.idle();
+    return out;
+}
+
+const std::string kGet = "GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n";
+const std::string kChunked =
+    "POST /p HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "5;ext=1\r\nhello\r\n6\r\n world\r\n0\r\nX-Trailer: 1\r\n\r\n";
+const std::string kLength = "POST /l HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello";
+
+TEST(Requests, PipelinedInPiecesOfAnySize) {
+    const std::string all = kGet + kChunked + kLength + "\r\n" + kGet;
+    for (std::size_t piece = 1; piece < all.size() + 1; ++piece) {
+        const Read r = read(all, piece);
+        ASSERT_FALSE(r.failed) << piece << ": " << r.error.why;
+        ASSERT_EQ(r.requests.size(), 4u) << piece;
+        EXPECT_EQ(r.requests[0].path(), "/a");
+        EXPECT_EQ(r.requests[0].query(), "b=c");
+        EXPECT_EQ(r.requests[1].body, "hello world");
+        EXPECT_EQ(r.requests[2].body, "hello");
+        EXPECT_EQ(r.requests[3].target, "/a?b=c");
+        EXPECT_FALSE(r.partial);
+    }
+}
+
+struct Bad {
+    const char* name;
+    std::string bytes;
+    int status;
+};
+std::string post(const std::string& headers, const std::string& body = "") {
+    return "POST / HTTP/1.1\r\nHost: x\r\n" + headers + "\r\n" + body;
+}
+const Bad kBad[] = {
+    {"BothLengths", post("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"), 400},
+    {"BothLengthsOtherOrder", post("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "0\r\n\r\n"), 400},
+    {"TwoLengths", post("Content-Length: 5\r\nContent-Length: 6\r\n", "hello"), 400},
+    {"TwoLengthsAlike", post("Content-Length: 5\r\nContent-Length: 5\r\n", "hello"), 400},
+    {"ListOfLengths", post("Content-Length: 5, 5\r\n", "hello"), 400},
+    {"SignedLength", post("Content-Length: +5\r\n", "hello"), 400},
+    {"NegativeLength", post("Content-Length: -1\r\n"), 400},
+    {"HugeLength", post("Content-Length: 99999999999999999999\r\n"), 400},
+    {"TwoCodings", post("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"), 501},
+    {"CodingInDisguise", post("Transfer-Encoding: xchunked\r\n", "0\r\n\r\n"), 501},
+    {"GzipChunked", post("Transfer-Encoding: gzip, chunked\r\n", "0\r\n\r\n"), 501},
+    {"BareLfLine", "GET / HTTP/1.1\nHost: x\r\n\r\n", 400},
+    {"BareLfHeader", "GET / HTTP/1.1\r\nHost: x\nA: b\r\n\r\n", 400},
+    {"BareLfEnd", "GET / HTTP/1.1\r\nHost: x\r\n\n", 400},
+    {"BareCr", "GET / HTTP/1.1\r\nHost: x\rA: b\r\n\r\n", 400},
+    {"Folded", "GET / HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n", 400},
+    {"SpaceBeforeColon", "GET / HTTP/1.1\r\nHost : x\r\n\r\n", 400},
+    {"NoColon", "GET / HTTP/1.1\r\nHost\r\n\r\n", 400},
+    {"NulInHeader", std::string("GET / HTTP/1.1\r\nHost: x\r\nA: b") + '\0' + "c\r\n\r\n", 400},
+    {"NoHost", "GET / HTTP/1.1\r\nA: b\r\n\r\n", 400},
+    {"TwoHosts", "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", 400},
+    {"NotHttp", "HELO there\r\n\r\n", 400},
+    {"Http2", "GET / HTTP/2.0\r\nHost: x\r\n\r\n", 505},
+    {"ChunkedInHttp10", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+    {"ChunkSizeNotHex", post("Transfer-Encoding: chunked\r\n", "5g\r\nhello\r\n0\r\n\r\n"), 400},
+    {"ChunkSizeHuge", post("Transfer-Encoding: chunked\r\n", "ffffffffffffffffff\r\n"), 400},
+    {"ChunkBareLf", post("Transfer-Encoding: chunked\r\n", "5\nhello\r\n0\r\n\r\n"), 400},
+    {"ChunkTooLong", post("Transfer-Encoding: chunked\r\n", "5\r\nhelloXX0\r\n\r\n"), 400},
+    {"ChunkExtensionLfInside", post("Transfer-Encoding: chunked\r\n", "5;a\nb\r\nhello\r\n0\r\n\r\n"), 400},
+    {"ChunkExtensionEndless", post("Transfer-Encoding: chunked\r\n", "5;" + std::string(5000, 'a')), 400},
+    {"LineTooLong", "GET /" + std::string(9000, 'a') + " HTTP/1.1\r\nHost: x\r\n\r\n", 414},
+    {"LineNeverEnds", "GET /" + std::string(9000, 'a'), 414},
+    {"HeaderTooLong", post("A: " + std::string(20000, 'a') + "\r\n"), 431},
+    {"HeadersNeverEnd", post("A: " + std::string(20000, 'a')), 431},
+    {"TooManyHeaders", post([] {
+         std::string s;
+         for (int k = 0; k < 150; ++k) s += "A: b\r\n";
+         return s;
+     }()),
+     431},
+    {"BodyTooLong", post("Content-Length: 2000000\r\n"), 413},
+    {"ChunkedBodyTooLong", post("Transfer-Encoding: chunked\r\n", "200000\r\n" + std::string(2 << 20, 'x')),
+     413},
+};
+class Refused : public testing::TestWithParam<Bad> {};
+INSTANTIATE_TEST_SUITE_P(All, Refused, testing::ValuesIn(kBad),
+                         [](const auto& info) { return info.param.name; });
+TEST_P(Refused, HoweverItIsCut) {
+    for (const std::size_t piece : {std::string::npos, std::size_t(1), std::size_t(7), std::size_t(1000)}) {
+        const Read r = read(GetParam().bytes, piece);
+        EXPECT_TRUE(r.failed) << "in pieces of " << piece;
+        EXPECT_EQ(r.error.status, GetParam().status) << r.error.why;
+        EXPECT_TRUE(r.requests.empty());
+        EXPECT_FALSE(r.error.why.empty());
+    }
+}
+
+TEST(Responses, EndWithTheConnectionWhereNoLengthIsGiven) {
+    Parser parser(Parser::Kind::response, {});
+    std::string_view bytes = "HTTP/1.1 200 OK\r\n\r\nto the end";
+    EXPECT_EQ(parser.feed(bytes), Parser::Status::need_more);
+    EXPECT_EQ(parser.finish(), Parser::Status::message);
+    EXPECT_EQ(parser.response().body, "to the end");
+    EXPECT_FALSE(parser.keep_alive());
+}
+TEST(Responses, CutShortIsAnError) {
+    Parser parser(Parser::Kind::response, {});
+    std::string_view bytes = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nshort";
+    EXPECT_EQ(parser.feed(bytes), Parser::Status::need_more);
+    EXPECT_EQ(parser.finish(), Parser::Status::error);
+}
+TEST(Responses, ToHeadHaveNoBody) {
+    Parser parser(Parser::Kind::response, {});
+    parser.expect_no_body(true);
+    std::string_view bytes = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n";
+    EXPECT_EQ(parser.feed(bytes), Parser::Status::message);
+}
+
+TEST(Queries, DecodedArgumentByArgument) {
+    EXPECT_EQ(query_argument("a=1&CMCD=bl%3D100%2Csid%3D%22x%22&z", "CMCD"), "bl=100,sid=\"x\"");
+    EXPECT_EQ(query_argument("CMCD=%zz", "CMCD"), std::nullopt);
+    EXPECT_EQ(query_argument("", "CMCD"), std::nullopt);
+    EXPECT_EQ(percent_encode("a b/\"c\""), "a%20b%2F%22c%22");
+}
+
+}  // namespace
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,12 +1,19 @@
 #!/bin/sh
-# The test command: limits, warnings as errors, tests plain and under sanitizers.
+# The test command: packages that are missing, limits, warnings as errors, tests plain and under sanitizers,
+# and the adapter built alone as the deploy file does.
 set -eu
 cd "$(dirname "$0")/.."
+sh scripts/install-packages.sh
 sh tests/limits.sh
+jobs=$(nproc)
 for kind in plain sanitize; do
     [ $kind = sanitize ] && on=ON || on=OFF
-    cmake -S . -B build-$kind -DIVYFIELD_TESTS=ON -DIVYFIELD_SANITIZE=$on -DCMAKE_BUILD_TYPE=RelWithDebInfo \
-        -DCMAKE_CXX_FLAGS=-Werror > /dev/null
-    cmake --build build-$kind -j4
-    (cd build-$kind && ctest --output-on-failure -j4 --no-tests=error)
+    cmake -S . -B build-$kind -DIVYFIELD_TESTS=ON -DIVYFIELD_PROGRAM=ON -DIVYFIELD_SANITIZE=$on \
+        -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_CXX_FLAGS=-Werror > /dev/null
+    cmake --build build-$kind -j"$jobs"
+    (cd build-$kind && ctest --output-on-failure -j"$jobs" --no-tests=error)
 done
+# The operators' build must do without the program's packages.
+cmake -S . -B build-adapter -DCMAKE_BUILD_TYPE=Release -DCMAKE_CXX_FLAGS=-Werror > /dev/null
+cmake --build build-adapter -j"$jobs"
+printf '' | build-adapter/ivyfield_benchlink
