The running director: session engine, node link, Consul list, HTTP front, serve and check

Need: the module's decisions had nobody to carry them out.

Change: src/core turns events and actions into calls on ports and asserts what must hold (one answer, one attempt out, no paid set-up repeated without proof); src/nodes speaks to media nodes over pooled HTTP and one event stream each; src/discovery follows Consul's health API with blocking queries; src/fronts/http answers players with an HLS playlist, CMSD and Retry-After; src/config checks JSON against a published schema and tells each fault's path.

--- /dev/null
+++ b/src/cli/director.cpp
@@ -0,0 +1,139 @@
+#include "cli/director.hpp"
+
+#include <cmath>
+
+namespace ivyfield::cli {
+
+using nlohmann::json;
+
+namespace {
+
+log::Level level_of(const std::string& name) {
+    if (name == "debug") return log::Level::debug;
+    if (name == "warning") return log::Level::warning;
+    return name == "error" ? log::Level::error : log::Level::info;
+}
+double rounded(double ms) { return std::round(ms * 10) / 10; }
+
+}  // namespace
+
+DirectorProcess::DirectorProcess(io::Loop& loop, const config::Config& config, std::uint64_t seed)
+    : loop_(loop),
+      config_(config),
+      log_(config.log_path, level_of(config.log_level), config.name),
+      nodes_(loop, config.name, config.settings,
+             [&] {
+                 nodes::LinkLimits limits;
+                 limits.client.per_address = config.node_connections;
+                 limits.connect_timeout = config.settings.connect_timeout;
+                 limits.silent = config.node_silent_ms;
+                 return limits;
+             }()),
+      engine_(loop, config.settings, seed, nodes_, nullptr),
+      front_(loop, config, engine_),
+      consul_(
+          loop,
+          [&] {
+              discovery::ConsulSettings s;
+              s.address = config.consul;
+              s.service = config.service;
+              s.kinds = config.kinds;
+              s.wait = config.list_wait_ms;
+              s.stale = config.list_stale;
+              s.longest_stale = config.longest_stale_ms;
+              return s;
+          }(),
+          [this](const std::vector<discovery::Instance>& instances) { listed(instances); }) {
+    nodes_.attach(&engine_);
+    engine_.on_end = [this](const core::SessionRecord& r) { ended(r); };
+    engine_.on_remark = [this](const std::string& text) {
+        log_.write(log::Level::info, loop_.wall_ms(), "module", {{"text", text}});
+    };
+    front_.status = [this] { return status(); };
+    log_.write(log::Level::info, loop_.wall_ms(), "started",
+               {{"listen", front_.address().text()}, {"list", config.consul.text()}});
+}
+DirectorProcess::~DirectorProcess() = default;
+
+void DirectorProcess::listed(const std::vector<discovery::Instance>& instances) {
+    ServerList list;
+    std::map<ServerId, io::Address> addresses;
+    for (const discovery::Instance& one : instances) {
+        list.entries.push_back(one.entry);
+        names_[one.entry.id] = one.id;
+        if (one.entry.state != ServerState::gone) addresses[one.entry.id] = one.address;
+    }
+    listed_ = instances.size();
+    nodes_.know(addresses);
+    engine_.take_list(list);
+    log_.write(log::Level::info, loop_.wall_ms(), "list", {{"nodes", instances.size()}});
+}
+
+void DirectorProcess::ended(const core::SessionRecord& r) {
+    const auto name = [this](ServerId id) {
+        const auto it = names_.find(id);
+        return it == names_.end() ? std::to_string(id) : it->second;
+    };
+    json tries = json::array();
+    for (const auto& [server, how] : r.tries) tries.push_back({{"node", name(server)}, {"end", how}});
+    const Settings& s = config_.settings;
+    json line = {{"session", r.id},
+                 {"sid", r.ask.sid},
+                 {"tenant", s.tenants[static_cast<std::size_t>(r.ask.tenant)].name},
+                 {"class", s.classes[static_cast<std::size_t>(r.ask.cls)].name},
+                 {"title", r.ask.title_name},
+                 {"answer", core::name(r.answer)},
+                 {"attempts", r.attempts},
+                 {"tries", tries},
+                 {"rung", r.rung},
+                 {"rungs_set", r.rungs_set},
+                 {"asked", 1 + r.joined_requests},
+                 {"returning", r.returning},
+                 {"moved", r.moved},
+                 {"ended_by", r.ended_by}};
+    // The phases, in the order of their happening: held, set up, played.
+    const Time answered = r.answered_at;
+    line["held_ms"] = rounded((r.first_sent > 0 ? r.first_sent : answered) - r.taken);
+    if (r.first_sent > 0) line["set_up_ms"] = rounded(answered - r.first_sent);
+    if (r.answer == core::Answer::plays) line["played_ms"] = rounded(r.ended - answered);
+    if (r.answer == core::Answer::refused) line["retry_after_ms"] = rounded(r.retry_after);
+    log_.write(log::Level::info, loop_.wall_ms(), "session", line);
+}
+
+std::string DirectorProcess::status() const {
+    const core::Counts& c = engine_.counts();
+    const fronts::FrontCounts& f = front_.counts();
+    const discovery::ConsulCounts& d = consul_.counts();
+    return json{{"name", config_.name},
+                {"sessions",
+                 {{"taken", c.taken},
+                  {"joined", c.joined},
+                  {"played", c.played},
+                  {"refused", c.refused},
+                  {"failed", c.failed},
+                  {"abandoned", c.abandoned},
+                  {"late", c.late},
+                  {"attempts", c.attempts},
+                  {"retried", c.retries},
+                  {"ended", c.ended},
+                  {"lost", c.reset},
+                  {"open", engine_.open_sessions()},
+                  {"playing", engine_.playing()}}},
+                {"players",
+                 {{"requests", f.requests},
+                  {"bad", f.bad},
+                  {"hints_dropped", f.hints_dropped},
+                  {"gone", f.gone}}},
+                {"list",
+                 {{"nodes", listed_},
+                  {"answers", d.answers},
+                  {"failures", d.failures},
+                  {"too_old", d.too_old},
+                  {"left_out", d.left_out},
+                  {"fault", consul_.last_fault()}}},
+                {"node_connections", nodes_.connections()}}
+               .dump(2) +
+           "\n";
+}
+
+}  // namespace ivyfield::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,9 +1,40 @@
 // The command `ivyfield`.
+#include <signal.h>
+
 #include <CLI/CLI.hpp>
 #include <exception>
 #include <iostream>
 
+#include "cli/director.hpp"
 #include "cli/hints_command.hpp"
+#include "io/ev/ev_loop.hpp"
+
+namespace {
+
+using namespace ivyfield;
+
+int check(const std::string& path) {
+    const config::Loaded loaded = config::load_file(path);
+    for (const config::Fault& f : loaded.faults)
+        std::cerr << path << ": " << (f.path.empty() ? "/" : f.path) << ": " << f.why << "\n";
+    if (!loaded.faults.empty()) return 1;
+    std::cout << path << ": good\n";
+    return 0;
+}
+
+int serve(const std::string& path) {
+    const config::Loaded loaded = config::load_file(path);
+    if (!loaded.faults.empty()) return check(path);
+    ::signal(SIGPIPE, SIG_IGN);
+    const std::uint64_t seed = loaded.config.seed.value_or(io::system_seed());
+    io::EvLoop loop(seed);
+    cli::DirectorProcess director(loop, loaded.config, seed);
+    for (const int number : {SIGINT, SIGTERM}) loop.on_signal(number, [&] { loop.stop(); });
+    loop.run();
+    return 0;
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
     CLI::App app{"ivyfield: places and shapes video sessions on streaming servers"};
@@ -14,6 +45,19 @@
     CLI::App* version = app.add_subcommand("version", "Print the version");
     version->callback([] { std::cout << "ivyfield " IVYFIELD_VERSION "\n"; });
 
+    std::string file;
+    CLI::App* serve_command = app.add_subcommand(
+        "serve",
+        "Run a director: players come to `listen`, the server list is asked of `list.consul`.\n"
+        "Example:  ivyfield serve --config examples/director.json");
+    serve_command->add_option("--config", file, "the director's JSON file; see config/schema.json")
+        ->required();
+    serve_command->callback([&] { code = serve(file); });
+    CLI::App* check_command = app.add_subcommand(
+        "check", "Check a director's JSON file and print every fault with its path; the exit code is 1 then");
+    check_command->add_option("file", file)->required();
+    check_command->callback([&] { code = check(file); });
+
     CLI::App* hints = app.add_subcommand("hints", "CMCD and CMSD payloads to JSON and back, a line each");
     hints->require_subcommand(1);
     std::string kind;
--- /dev/null
+++ b/src/core/engine.cpp
@@ -0,0 +1,424 @@
+#include "core/engine.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "core/outcomes.hpp"
+
+namespace ivyfield::core {
+
+const char* name(Answer answer) {
+    switch (answer) {
+        case Answer::plays:
+            return "plays";
+        case Answer::refused:
+            return "refused";
+        case Answer::failed:
+            return "failed";
+        case Answer::abandoned:
+            return "abandoned";
+    }
+    return "?";
+}
+const char* name(Outcome outcome) {
+    switch (outcome) {
+        case Outcome::ended:
+            return "ended";
+        case Outcome::error:
+            return "error";
+        case Outcome::full:
+            return "full";
+        case Outcome::timed_out:
+            return "timed out";
+        case Outcome::not_connected:
+            return "not connected";
+        case Outcome::reset:
+            return "reset";
+        case Outcome::cancelled:
+            return "cancelled";
+        case Outcome::not_sent:
+            return "not sent";
+    }
+    return "?";
+}
+
+struct Engine::Session {
+    SessionRecord record;
+    State state = State::held;
+    bool may_have_run = false;  // an attempt ended without proof that it never ran
+    bool moving = false;        // the module moves it: its player comes back for a new session
+    int rung = 0, rung_sent = 0;
+    int attempt = -1;  // the one out or playing
+    std::string media;
+    std::vector<Waiter*> waiters;
+    io::Timer deadline, expiry;
+    std::deque<std::string> history;
+};
+
+Engine::Engine(io::Loop& loop, const Settings& settings, std::uint64_t seed, NodePort& nodes, ListPort* list,
+               const EngineLimits& limits)
+    : loop_(loop),
+      settings_(settings),
+      nodes_(nodes),
+      list_(list),
+      limits_(limits),
+      director_(settings, seed),
+      // Ids of two lives of a director must not meet at a node: 20 bits of them are drawn at
+      // each start; 52 in all, so that JSON numbers hold them.
+      last_id_((seed & 0xfffffull) << 32) {}
+Engine::~Engine() = default;
+
+// ---- Slips and history ----
+
+void Engine::remark(Session& s, std::string what) {
+    if (s.history.size() >= limits_.history) s.history.pop_front();
+    s.history.push_back(std::to_string(loop_.now() - s.record.taken) + " ms: " + std::move(what));
+}
+void Engine::slip(const Session& s, const std::string& what) const {
+    std::string text =
+        "session " + std::to_string(s.record.id) + " (sid \"" + s.record.ask.sid + "\"): " + what;
+    for (const std::string& line : s.history) text += "\n  " + line;
+    throw Slip(text);
+}
+Engine::Session& Engine::known(SessionId id, const char* action) {
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end())
+        throw Slip(std::string("the module's ") + action + " names session " + std::to_string(id) +
+                   ", which is not open");
+    return *it->second;
+}
+
+// ---- Requests ----
+
+// Fields are cut with a byte that a sid cannot hold, so that no two asks share a key by accident.
+std::string Engine::key(const Ask& ask) const {
+    return ask.sid + '\n' + std::to_string(ask.tenant) + '\n' + std::to_string(ask.cls) + '\n' +
+           ask.title_name;
+}
+
+SessionId Engine::open(const Ask& ask, Waiter* waiter) {
+    const std::string k = key(ask);
+    if (const auto it = by_key_.find(k); it != by_key_.end()) {
+        Session& s = *sessions_.at(it->second);
+        s.record.joined_requests += 1;
+        counts_.joined += 1;
+        remark(s, "asked again");
+        if (s.state == State::playing) {
+            waiter->plays({s.record.id, s.attempt, s.record.server, s.rung, s.media});
+        } else {
+            s.waiters.push_back(waiter);
+        }
+        return s.record.id;
+    }
+    const SessionId id = ++last_id_;
+    auto owned = std::make_unique<Session>();
+    Session& s = *owned;
+    s.record.id = id;
+    s.record.ask = ask;
+    s.record.taken = loop_.now();
+    const ClassSettings& cls = settings_.classes.at(static_cast<std::size_t>(ask.cls));
+    s.record.deadline = loop_.now() + cls.patience;
+    s.rung = cls.floor;
+    s.waiters.push_back(waiter);
+    if (const auto it = remembered_.find(k); it != remembered_.end() && it->second.until > loop_.now()) {
+        s.record.returning = true;
+        s.record.moved = it->second.moved;
+    }
+    remark(s, "taken");
+    counts_.taken += 1;
+    sessions_.emplace(id, std::move(owned));
+    by_key_.emplace(k, id);
+    s.deadline =
+        loop_.at(s.record.deadline + settings_.answer_slack / 2, [this, id] { deadline_passed(id); });
+    SessionRequest request;
+    request.id = id;
+    request.cls = ask.cls;
+    request.tenant = ask.tenant;
+    request.viewer = XXH64(ask.sid.data(), ask.sid.size(), 0);
+    request.title = ask.title;
+    request.deadline = s.record.deadline;
+    request.first_cell = ask.first_cell;
+    request.cell_count = ask.cell_count;
+    request.top_rung = ask.top_rung;
+    request.moved = s.record.moved;
+    request.returning = s.record.returning;
+    feed(request);
+    return id;
+}
+
+void Engine::leave(SessionId id, Waiter* waiter) {
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end()) return;
+    Session& s = *it->second;
+    auto& w = s.waiters;
+    const auto found = std::find(w.begin(), w.end(), waiter);
+    if (found == w.end()) return;
+    w.erase(found);
+    if (!w.empty() || s.record.answered) return;
+    remark(s, "the last who waited has left");
+    answer(s, Answer::abandoned);
+    if (s.state == State::held) finish(id, "player");
+    else s.state = State::left;
+    feed(SessionAbandoned{id});
+}
+
+// The viewer's time is up and the module has not answered: nothing is owed any more. On a director that keeps
+// up this does not happen; it is counted as late and answered as a failure so that no connection hangs.
+void Engine::deadline_passed(SessionId id) {
+    Session& s = *sessions_.at(id);
+    if (s.record.answered) return;
+    counts_.late += 1;
+    remark(s, "time is up, unanswered");
+    answer(s, Answer::failed);
+    if (s.state == State::held) finish(id, "director");
+    else s.state = State::left;
+    feed(SessionAbandoned{id});
+}
+
+void Engine::answer(Session& s, Answer answer) {
+    if (s.record.answered) slip(s, std::string("a second answer: ") + name(answer));
+    s.record.answered = true;
+    s.record.answer = answer;
+    s.record.answered_at = loop_.now();
+    s.deadline.stop();
+    remark(s, std::string("answered: ") + name(answer));
+    switch (answer) {
+        case Answer::plays:
+            counts_.played += 1;
+            break;
+        case Answer::refused:
+            counts_.refused += 1;
+            break;
+        case Answer::failed:
+            counts_.failed += 1;
+            break;
+        case Answer::abandoned:
+            counts_.abandoned += 1;
+            break;
+    }
+    const auto waiters = std::move(s.waiters);
+    s.waiters.clear();
+    const Placement where{s.record.id, s.attempt, s.record.server, s.rung, s.media};
+    const Time retry_after = s.record.retry_after;
+    for (Waiter* waiter : waiters) {
+        if (answer == Answer::plays) waiter->plays(where);
+        else if (answer == Answer::refused) waiter->refused(retry_after);
+        else if (answer == Answer::failed) waiter->failed();
+    }
+}
+
+void Engine::remember(const Session& s) {
+    const std::string k = key(s.record.ask);
+    const Time now = loop_.now();
+    while (!remembered_order_.empty() &&
+           (remembered_order_.front().first <= now || remembered_order_.size() >= limits_.remembered)) {
+        const auto it = remembered_.find(remembered_order_.front().second);
+        if (it != remembered_.end() && it->second.until <= remembered_order_.front().first)
+            remembered_.erase(it);
+        remembered_order_.pop_front();
+    }
+    const Time until = now + limits_.remembered_for;
+    remembered_[k] = {until, s.moving};
+    remembered_order_.emplace_back(until, k);
+}
+
+void Engine::finish(SessionId id, const char* by) {
+    const auto it = sessions_.find(id);
+    const std::unique_ptr<Session> owned = std::move(it->second);
+    sessions_.erase(it);
+    Session& s = *owned;
+    if (!s.record.answered) slip(s, "ends unanswered");
+    by_key_.erase(key(s.record.ask));
+    remember(s);
+    s.record.ended = loop_.now();
+    s.record.ended_by = by;
+    s.record.rung = s.rung;
+    counts_.ended += 1;
+    if (on_end) on_end(s.record);
+}
+
+void Engine::take_list(const ServerList& list) { feed(list); }
+
+// ---- What nodes tell ----
+
+void Engine::started(SessionId id, int attempt, const std::string& media) {
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end() || it->second->attempt != attempt) return;  // its end came first
+    Session& s = *it->second;
+    if (s.state != State::out && s.state != State::left) slip(s, "started, though no attempt is out");
+    remark(s, "started");
+    s.expiry.stop();
+    s.media = media;
+    s.record.server = s.record.tries.back().first;
+    const bool wanted = s.state == State::out;
+    s.state = State::playing;
+    playing_ += 1;
+    const Time waited = loop_.now() - s.record.first_sent;
+    if (s.rung_sent != s.rung) {
+        s.rung_sent = s.rung;
+        nodes_.set_rung(s.record.server, id, attempt, s.rung);
+    }
+    if (wanted) answer(s, Answer::plays);
+    feed(SessionStarted{id, attempt, s.record.server, waited});
+}
+
+void Engine::over(SessionId id, int attempt, Outcome outcome, const LoadReport& report) {
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end() || it->second->attempt != attempt) return;  // timed out before: told already
+    attempt_over(*it->second, outcome, report);
+}
+
+void Engine::attempt_over(Session& s, Outcome outcome, const LoadReport& report) {
+    const SessionId id = s.record.id;
+    const State was = s.state;
+    AttemptOver e;
+    e.id = id;
+    e.attempt = s.attempt;
+    e.server = s.record.tries.back().first;
+    e.outcome = outcome;
+    e.waited = loop_.now() - s.record.first_sent;
+    e.session_over = s.record.answered;
+    e.report = report;
+    s.record.tries.back().second = name(outcome);
+    s.expiry.stop();
+    s.attempt = -1;
+    s.may_have_run = s.may_have_run || !proves_never_ran(outcome);
+    remark(s, std::string("attempt over: ") + name(outcome));
+    if (was == State::playing) {
+        playing_ -= 1;
+        counts_.reset += outcome == Outcome::reset;
+    }
+    if (s.record.answered) finish(id, was == State::playing ? "node" : "player");
+    else s.state = State::held;
+    feed(e);
+}
+
+void Engine::note(SessionId session, int attempt, ServerId server, NoteKind kind, double value) {
+    feed(SessionNote{session, attempt, server, kind, value});
+}
+void Engine::probed(ServerId server, Outcome outcome, Time waited, const LoadReport& report) {
+    feed(ProbeAnswered{server, outcome, waited, report});
+}
+
+// ---- The module ----
+
+// Events that come while one is handled wait their turn: the module is never entered twice.
+void Engine::feed(Event event) {
+    events_.push_back(std::move(event));
+    if (feeding_) return;
+    feeding_ = true;
+    struct Guard {
+        bool& flag;
+        ~Guard() { flag = false; }
+    } guard{feeding_};
+    while (!events_.empty()) {
+        const Event next = std::move(events_.front());
+        events_.pop_front();
+        std::vector<Action> actions;
+        director_.handle(loop_.now(), next, actions);
+        for (const Action& action : actions) std::visit([this](const auto& a) { carry(a); }, action);
+    }
+}
+
+void Engine::carry(const Send& a) {
+    Session& s = known(a.id, "Send");
+    if (s.record.answered) slip(s, "sent after its answer");
+    if (s.attempt >= 0) slip(s, "sent while an attempt is out");
+    const ClassSettings& cls = settings_.classes[static_cast<std::size_t>(s.record.ask.cls)];
+    if (s.may_have_run && cls.repeat == Repeat::paid)
+        slip(s, "a paid set-up is sent again, though an earlier attempt may have run");
+    const Time expires = a.expires > 0 ? std::min(a.expires, s.record.deadline) : s.record.deadline;
+    s.attempt = s.record.attempts++;
+    s.state = State::out;
+    s.record.tries.emplace_back(a.server, "out");
+    s.rung_sent = s.rung;
+    counts_.attempts += 1;
+    if (s.attempt == 0) s.record.first_sent = loop_.now();
+    else counts_.retries += 1;
+    remark(s, "sent to server " + std::to_string(a.server) + " at rung " + std::to_string(s.rung));
+    const SessionId id = a.id;
+    const int attempt = s.attempt;
+    if (expires <= loop_.now() || s.record.attempts > std::max(1, settings_.max_attempts)) {
+        loop_.post([this, id, attempt] { over(id, attempt, Outcome::not_sent, {}); });
+        return;
+    }
+    s.expiry = loop_.at(expires, [this, id, attempt, server = a.server] {
+        nodes_.cancel(server, id, attempt);  // its work is of no use to anyone now
+        over(id, attempt, Outcome::timed_out, {});
+    });
+    nodes_.set_up({id, attempt, a.server, s.rung, expires, s.record.ask, cls.repeat == Repeat::paid});
+}
+
+void Engine::carry(const Refuse& a) {
+    const auto it = sessions_.find(a.id);
+    if (it == sessions_.end()) return;  // left a moment ago: its event was on the way
+    Session& s = *it->second;
+    if (s.record.answered) return;
+    const ClassSettings& cls = settings_.classes[static_cast<std::size_t>(s.record.ask.cls)];
+    if (s.attempt >= 0) slip(s, "refused while an attempt is out");
+    if (s.may_have_run && cls.repeat == Repeat::paid)
+        slip(s, "a paid set-up is refused, though an earlier attempt may have run");
+    s.record.retry_after = a.retry_after;
+    answer(s, Answer::refused);
+    finish(a.id, "director");
+}
+void Engine::carry(const Fail& a) {
+    const auto it = sessions_.find(a.id);
+    if (it == sessions_.end() || it->second->record.answered) return;
+    Session& s = *it->second;
+    answer(s, Answer::failed);
+    if (s.attempt < 0) finish(a.id, "director");
+    else s.state = State::left;
+}
+void Engine::carry(const Cancel& a) {
+    Session& s = known(a.id, "Cancel");
+    if (a.attempt < 0 || a.attempt >= s.record.attempts) slip(s, "cancels an attempt that was never made");
+    if (a.attempt != s.attempt) return;
+    remark(s, "called off");
+    nodes_.cancel(s.record.tries.back().first, a.id, a.attempt);
+    if (s.state == State::out || s.state == State::left) {
+        loop_.post([this, id = a.id, attempt = a.attempt] { over(id, attempt, Outcome::cancelled, {}); });
+    }
+}
+void Engine::carry(const SetRung& a) {
+    const auto it = sessions_.find(a.id);
+    if (it == sessions_.end()) return;
+    Session& s = *it->second;
+    const ClassSettings& cls = settings_.classes[static_cast<std::size_t>(s.record.ask.cls)];
+    if (a.rung < cls.floor || a.rung >= static_cast<int>(settings_.rung_kb.size()))
+        slip(s, "rung " + std::to_string(a.rung) + " is under the class's floor or not on the ladder");
+    s.rung = a.rung;
+    if (s.state != State::playing || s.rung_sent == s.rung) return;
+    s.rung_sent = s.rung;
+    s.record.rungs_set += 1;
+    remark(s, "rung " + std::to_string(a.rung));
+    nodes_.set_rung(s.record.server, a.id, s.attempt, s.rung);
+}
+void Engine::carry(const Move& a) {
+    Session& s = known(a.id, "Move");
+    if (s.state != State::playing) slip(s, "moved, though it does not play");
+    s.moving = true;
+    remark(s, "moved");
+    nodes_.move(s.record.server, a.id, s.attempt);
+}
+void Engine::carry(const Probe& a) { nodes_.probe(a.server); }
+void Engine::carry(const SetAlarm& a) {
+    const std::uint64_t id = ++last_alarm_;
+    alarms_[id] = loop_.at(a.at, [this, id, mark = a.mark] {
+        alarms_.erase(id);
+        feed(AlarmDue{mark});
+    });
+}
+void Engine::carry(const FollowList& a) {
+    if (list_) list_->follow(a.on);
+}
+void Engine::carry(const FetchList&) {
+    if (list_) list_->fetch();
+}
+void Engine::carry(const Log& a) {
+    if (on_remark) on_remark(a.text);
+}
+
+}  // namespace ivyfield::core
--- /dev/null
+++ b/src/core/engine.hpp
@@ -0,0 +1,132 @@
+// The session engine: owns a Director (the decision module) and the table of sessions and attempts, turns
+// what the ports tell into events and the module's actions into calls on the ports. It decides nothing: which
+// server, rung, wait, refusal or retry is the module's word.
+//
+// A session lives from open() to its end:
+//   held      owed an answer, no attempt out
+//   out       owed an answer, one attempt out
+//   playing   answered; its attempt plays
+//   left      nobody waits any more (abandoned), its attempt is still out
+// A slip of our own (an action for a session that never was, a second attempt while one is out, an answer
+// twice, a paid set-up repeated without proof) throws Slip with the session's history.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <stdexcept>
+#include <vector>
+
+#include "core/ports.hpp"
+#include "io/loop.hpp"
+
+namespace ivyfield::core {
+
+class Slip : public std::logic_error {
+    using std::logic_error::logic_error;
+};
+
+// All of one session, for its line in the log when it ends. Times on the loop's clock; 0: never came to it.
+struct SessionRecord {
+    SessionId id = 0;
+    Ask ask;
+    Answer answer = Answer::abandoned;
+    bool answered = false, returning = false, moved = false;
+    Time taken = 0, first_sent = 0, answered_at = 0, ended = 0, deadline = 0, retry_after = 0;
+    int attempts = 0, rung = 0, rungs_set = 0, joined_requests = 0;
+    ServerId server = 0;
+    std::vector<std::pair<ServerId, std::string>> tries;  // each attempt's server and how it ended
+    std::string ended_by;                                 // "node", "player", "director"
+};
+
+struct Counts {
+    std::uint64_t taken = 0, joined = 0, played = 0, refused = 0, failed = 0, abandoned = 0;
+    std::uint64_t attempts = 0, retries = 0, late = 0, ended = 0, reset = 0;
+};
+
+struct EngineLimits {
+    std::size_t remembered = 100000;       // sids of ended sessions, to know who returns
+    Time remembered_for = 10 * 60 * 1000;  // and for how long
+    std::size_t history = 32;              // entries of a session's history, the last ones
+};
+
+class Engine : public NodeEvents {
+  public:
+    Engine(io::Loop& loop, const Settings& settings, std::uint64_t seed, NodePort& nodes, ListPort* list,
+           const EngineLimits& limits = {});
+    ~Engine() override;
+    Engine(const Engine&) = delete;
+    Engine& operator=(const Engine&) = delete;
+
+    std::function<void(const SessionRecord&)> on_end;   // each session, once, when it is over
+    std::function<void(const std::string&)> on_remark;  // the module's own log lines
+
+    // A request for a session. The waiter hears its answer, possibly within this call, unless it leaves
+    // first. The same sid for the same title joins the session it has: no second set-up, and the same answer.
+    SessionId open(const Ask& ask, Waiter* waiter);
+    // The waiter's connection is gone; it hears nothing any more.
+    void leave(SessionId id, Waiter* waiter);
+    void take_list(const ServerList& list);
+
+    // NodeEvents
+    void started(SessionId session, int attempt, const std::string& media) override;
+    void over(SessionId session, int attempt, Outcome outcome, const LoadReport& report) override;
+    void note(SessionId session, int attempt, ServerId server, NoteKind kind, double value) override;
+    void probed(ServerId server, Outcome outcome, Time waited, const LoadReport& report) override;
+
+    const Counts& counts() const { return counts_; }
+    const Settings& settings() const { return settings_; }
+    std::size_t open_sessions() const { return sessions_.size(); }
+    std::size_t playing() const { return playing_; }
+
+  private:
+    enum class State { held, out, playing, left };
+    struct Session;
+    struct Remembered {
+        Time until;
+        bool moved;
+    };
+
+    void feed(Event event);
+    void carry(const Send& a);
+    void carry(const Refuse& a);
+    void carry(const Fail& a);
+    void carry(const Cancel& a);
+    void carry(const SetRung& a);
+    void carry(const Move& a);
+    void carry(const Probe& a);
+    void carry(const SetAlarm& a);
+    void carry(const FollowList& a);
+    void carry(const FetchList& a);
+    void carry(const Log& a);
+
+    Session& known(SessionId id, const char* action);
+    [[noreturn]] void slip(const Session& s, const std::string& what) const;
+    void remark(Session& s, std::string what);
+    void answer(Session& s, Answer answer);
+    void attempt_over(Session& s, Outcome outcome, const LoadReport& report);
+    void deadline_passed(SessionId id);
+    void finish(SessionId id, const char* by);
+    std::string key(const Ask& ask) const;
+    void remember(const Session& s);
+
+    io::Loop& loop_;
+    Settings settings_;
+    NodePort& nodes_;
+    ListPort* list_;
+    EngineLimits limits_;
+    Director director_;
+    Counts counts_;
+    SessionId last_id_;
+    std::size_t playing_ = 0;
+    std::map<SessionId, std::unique_ptr<Session>> sessions_;
+    std::map<std::string, SessionId> by_key_;
+    std::map<std::string, Remembered> remembered_;
+    std::deque<std::pair<Time, std::string>> remembered_order_;
+    std::deque<Event> events_;
+    bool feeding_ = false;
+    std::map<std::uint64_t, io::Timer> alarms_;
+    std::uint64_t last_alarm_ = 0;
+};
+
+}  // namespace ivyfield::core
--- /dev/null
+++ b/src/core/ports.hpp
@@ -0,0 +1,81 @@
+// What the session engine speaks to: nodes and players. No protocol here; each port is implemented once on
+// the wire and again in tests.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "ivyfield/director.hpp"
+
+namespace ivyfield::core {
+
+// What a viewer asks for. Indices into Settings; names travel beside them, for nodes and logs only.
+struct Ask {
+    std::string sid;  // the player's own id of its session; stays over all its tries
+    std::string title_name;
+    int cls = 0, tenant = 0;
+    TitleId title = 0;
+    int first_cell = 0, cell_count = 0, top_rung = 0;
+};
+
+struct Placement {
+    SessionId session = 0;
+    int attempt = 0;
+    ServerId server = 0;
+    int rung = 0;
+    std::string media;  // where the node serves it: an absolute URL that ends with '/'
+};
+
+enum class Answer { plays, refused, failed, abandoned };
+const char* name(Answer answer);
+
+// One request of a player that waits for an answer. It hears exactly one of these, once.
+class Waiter {
+  public:
+    virtual ~Waiter() = default;
+    virtual void plays(const Placement& where) = 0;
+    virtual void refused(Time retry_after) = 0;
+    virtual void failed() = 0;
+};
+
+struct SetUp {
+    SessionId session = 0;
+    int attempt = 0;
+    ServerId server = 0;
+    int rung = 0;
+    Time expires = 0;
+    Ask ask;
+    bool paid = false;
+};
+
+// The media nodes. Every call that begins something ends in one call of NodeEvents, never from within.
+class NodePort {
+  public:
+    virtual ~NodePort() = default;
+    virtual void set_up(const SetUp& what) = 0;  // ends in started() or over()
+    virtual void set_rung(ServerId server, SessionId session, int attempt, int rung) = 0;
+    // The session leaves its node; over() tells when it has.
+    virtual void move(ServerId server, SessionId session, int attempt) = 0;
+    virtual void cancel(ServerId server, SessionId session, int attempt) = 0;
+    virtual void probe(ServerId server) = 0;  // ends in probed()
+};
+
+// What nodes tell the engine.
+class NodeEvents {
+  public:
+    virtual ~NodeEvents() = default;
+    virtual void started(SessionId session, int attempt, const std::string& media) = 0;
+    virtual void over(SessionId session, int attempt, Outcome outcome, const LoadReport& report) = 0;
+    virtual void note(SessionId session, int attempt, ServerId server, NoteKind kind, double value) = 0;
+    virtual void probed(ServerId server, Outcome outcome, Time waited, const LoadReport& report) = 0;
+};
+
+// The list of servers, for modules that ask for it; a pushed list needs neither.
+class ListPort {
+  public:
+    virtual ~ListPort() = default;
+    virtual void follow(bool on) = 0;
+    virtual void fetch() = 0;
+};
+
+}  // namespace ivyfield::core
--- /dev/null
+++ b/src/log/log.hpp
@@ -0,0 +1,31 @@
+// Structured logs: one JSON object a line, on spdlog. Field names are stable; operators' tools read them.
+#pragma once
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace spdlog {
+class logger;
+}
+
+namespace ivyfield::log {
+
+enum class Level { debug, info, warning, error };
+
+class Log {
+  public:
+    // "-" is standard error, "" nothing at all; else a file that is appended to. Throws std::runtime_error.
+    Log(const std::string& path, Level least, std::string name);
+    ~Log();
+    // "t" (milliseconds since 1970), "level", "name" and "event" come first, then the fields.
+    void write(Level level, double wall_ms, const char* event, const nlohmann::json& fields);
+    void flush();
+
+  private:
+    std::shared_ptr<spdlog::logger> logger_;
+    Level least_;
+    std::string name_;
+};
+
+}  // namespace ivyfield::log
--- /dev/null
+++ b/tests/core/engine_test.cpp
@@ -0,0 +1,235 @@
+// The engine against nodes that do what a test says, on simulated time: one answer each, no set-up twice.
+#include "core/engine.hpp"
+
+#include <gtest/gtest.h>
+
+#include "core/outcomes.hpp"
+#include "io/virtual/world.hpp"
+
+using namespace ivyfield;
+using namespace ivyfield::core;
+
+namespace {
+
+struct FakeNodes : NodePort {
+    std::vector<SetUp> set_ups;
+    std::vector<std::pair<SessionId, int>> rungs, moves, cancels;
+    std::vector<ServerId> probes;
+    void set_up(const SetUp& what) override { set_ups.push_back(what); }
+    void set_rung(ServerId, SessionId s, int, int rung) override { rungs.emplace_back(s, rung); }
+    void move(ServerId, SessionId s, int attempt) override { moves.emplace_back(s, attempt); }
+    void cancel(ServerId, SessionId s, int attempt) override { cancels.emplace_back(s, attempt); }
+    void probe(ServerId server) override { probes.push_back(server); }
+};
+struct FakeWaiter : Waiter {
+    std::vector<Answer> heard;
+    Placement where;
+    Time retry_after = -1;
+    void plays(const Placement& w) override { heard.push_back(Answer::plays), where = w; }
+    void refused(Time after) override { heard.push_back(Answer::refused), retry_after = after; }
+    void failed() override { heard.push_back(Answer::failed); }
+};
+
+Settings small() {
+    Settings s;
+    s.max_attempts = 4;
+    s.max_retry_after = 2000;
+    s.connect_timeout = 250;
+    s.answer_slack = 40;
+    s.stop_within = 500;
+    s.kind_streams = {25};
+    s.weight_kb = 5000;
+    s.rung_kb = {100, 200, 400};
+    s.rung_worth = {0.3, 0.7, 1};
+    s.budget = BudgetSettings{0.3, 5, 10000};
+    ClassSettings paid;
+    paid.name = "paid", paid.worth = 3, paid.aim = 1500, paid.patience = 5000;
+    paid.repeat = Repeat::paid, paid.top = 2, paid.rate_part = 1;
+    ClassSettings free = paid;
+    free.name = "free", free.repeat = Repeat::harmless, free.worth = 1, free.aim = 800;
+    s.classes = {paid, free};
+    s.tenants = {{"t", 0, 1}};
+    return s;
+}
+
+struct EngineTest : testing::Test {
+    io::World world{1};
+    io::VirtualLoop& loop = world.start("director");
+    FakeNodes nodes;
+    Settings settings = small();
+    std::unique_ptr<Engine> engine;
+    std::vector<SessionRecord> ended;
+    void SetUp() override {
+        engine = std::make_unique<Engine>(loop, settings, 7, nodes, nullptr);
+        engine->on_end = [this](const SessionRecord& r) { ended.push_back(r); };
+        ServerList list;
+        for (ServerId id : {1, 2, 3}) {
+            ServerEntry e;
+            e.id = id, e.weight = 1;
+            list.entries.push_back(e);
+        }
+        engine->take_list(list);
+    }
+    Ask ask(const std::string& sid, int cls) {
+        Ask a;
+        a.sid = sid, a.cls = cls, a.title_name = "title", a.title = 9, a.top_rung = 2;
+        return a;
+    }
+};
+
+TEST_F(EngineTest, PlaysAndEnds) {
+    FakeWaiter w;
+    const SessionId id = engine->open(ask("a", 0), &w);
+    ASSERT_EQ(nodes.set_ups.size(), 1u);
+    EXPECT_TRUE(nodes.set_ups[0].paid);
+    engine->started(id, 0, "http://n/m/");
+    ASSERT_EQ(w.heard, std::vector<Answer>{Answer::plays});
+    EXPECT_EQ(w.where.media, "http://n/m/");
+    EXPECT_EQ(engine->playing(), 1u);
+    world.run_until(20000);
+    engine->over(id, 0, Outcome::ended, {});
+    ASSERT_EQ(ended.size(), 1u);
+    EXPECT_EQ(ended[0].ended_by, "node");
+    EXPECT_EQ(engine->open_sessions(), 0u);
+    EXPECT_EQ(w.heard.size(), 1u);
+}
+TEST_F(EngineTest, TheSameSidTwiceIsOneSetUpAndTwoAnswers) {
+    FakeWaiter first, second, third;
+    const SessionId id = engine->open(ask("a", 0), &first);
+    EXPECT_EQ(engine->open(ask("a", 0), &second), id);
+    EXPECT_EQ(nodes.set_ups.size(), 1u);
+    engine->started(id, 0, "http://n/m/");
+    EXPECT_EQ(first.heard.size(), 1u);
+    EXPECT_EQ(second.heard.size(), 1u);
+    engine->open(ask("a", 0), &third);
+    EXPECT_EQ(third.heard, std::vector<Answer>{Answer::plays});
+    EXPECT_EQ(third.where.media, "http://n/m/");
+    EXPECT_EQ(nodes.set_ups.size(), 1u);
+    EXPECT_EQ(engine->counts().taken, 1u);
+}
+TEST_F(EngineTest, AnotherSidOrTitleIsAnotherSession) {
+    FakeWaiter a, b, c;
+    Ask other = ask("a", 0);
+    other.title_name = "else";
+    engine->open(ask("a", 0), &a);
+    engine->open(ask("b", 0), &b);
+    engine->open(other, &c);
+    EXPECT_EQ(nodes.set_ups.size(), 3u);
+}
+TEST_F(EngineTest, EveryOutcomeOfAPaidSetUpKeepsTheRule) {
+    for (const Outcome outcome : {Outcome::error, Outcome::full, Outcome::not_connected, Outcome::reset,
+                                  Outcome::cancelled, Outcome::not_sent}) {
+        SCOPED_TRACE(name(outcome));
+        FakeWaiter w;
+        nodes.set_ups.clear();
+        const SessionId id = engine->open(ask(name(outcome), 0), &w);
+        ASSERT_EQ(nodes.set_ups.size(), 1u);
+        engine->over(id, 0, outcome, {});
+        if (proves_never_ran(outcome)) {
+            EXPECT_TRUE(nodes.set_ups.size() == 2 || w.heard == std::vector<Answer>{Answer::refused});
+        } else {
+            EXPECT_EQ(nodes.set_ups.size(), 1u) << "sent again, though it may have run";
+            EXPECT_EQ(w.heard, std::vector<Answer>{Answer::failed});
+        }
+        world.run_until(world.now() + 20000);
+        EXPECT_EQ(w.heard.size(), 1u);
+    }
+}
+TEST_F(EngineTest, ASilentNodeEndsInOneFailureInTime) {
+    FakeWaiter w;
+    engine->open(ask("a", 0), &w);
+    world.run_until(5040);
+    EXPECT_EQ(w.heard, std::vector<Answer>{Answer::failed});
+    EXPECT_EQ(nodes.set_ups.size(), 1u);
+    EXPECT_EQ(nodes.cancels.size(), 1u);
+    EXPECT_EQ(engine->open_sessions(), 0u);
+    EXPECT_EQ(engine->counts().late, 0u);
+}
+TEST_F(EngineTest, AnAnswerAfterItsTimeIsNoAnswer) {
+    FakeWaiter w;
+    const SessionId id = engine->open(ask("a", 1), &w);
+    world.run_until(3000);  // the first attempt has timed out
+    const std::size_t sent = nodes.set_ups.size();
+    EXPECT_GE(sent, 2u);
+    engine->started(id, 0, "http://late/");
+    engine->over(id, 0, Outcome::error, {});
+    EXPECT_TRUE(w.heard.empty() || w.heard.front() != Answer::plays);
+    world.run_until(10000);
+    EXPECT_EQ(w.heard.size(), 1u);
+}
+TEST_F(EngineTest, NeverTwoAttemptsOutAtOnce) {
+    FakeWaiter w;
+    engine->open(ask("a", 1), &w);
+    world.run_until(10000);
+    for (std::size_t k = 1; k < nodes.set_ups.size(); ++k)
+        EXPECT_GE(nodes.cancels.size(), k) << "attempt " << k << " went out before the last was over";
+    EXPECT_LE(nodes.set_ups.size(), 4u);
+    EXPECT_EQ(w.heard.size(), 1u);
+}
+TEST_F(EngineTest, AViewerWhoLeavesIsOwedNothing) {
+    FakeWaiter w;
+    const SessionId id = engine->open(ask("a", 0), &w);
+    engine->leave(id, &w);
+    EXPECT_EQ(engine->counts().abandoned, 1u);
+    EXPECT_EQ(engine->open_sessions(), 1u) << "its attempt is still out";
+    engine->started(id, 0, "http://n/m/");
+    EXPECT_TRUE(w.heard.empty());
+    engine->over(id, 0, Outcome::ended, {});
+    EXPECT_EQ(engine->open_sessions(), 0u);
+    engine->leave(id, &w);  // once more: no harm
+}
+TEST_F(EngineTest, OneOfTwoWhoLeavesDoesNotAbandonTheOther) {
+    FakeWaiter first, second;
+    const SessionId id = engine->open(ask("a", 0), &first);
+    engine->open(ask("a", 0), &second);
+    engine->leave(id, &first);
+    engine->started(id, 0, "http://n/m/");
+    EXPECT_TRUE(first.heard.empty());
+    EXPECT_EQ(second.heard.size(), 1u);
+}
+TEST_F(EngineTest, AnEndedSidThatComesBackIsReturning) {
+    FakeWaiter w, again;
+    const SessionId id = engine->open(ask("a", 0), &w);
+    engine->started(id, 0, "http://n/m/");
+    engine->over(id, 0, Outcome::reset, {});
+    const SessionId next = engine->open(ask("a", 0), &again);
+    EXPECT_NE(next, id);
+    engine->started(next, 0, "http://n/m2/");
+    engine->over(next, 0, Outcome::ended, {});
+    ASSERT_EQ(ended.size(), 2u);
+    EXPECT_FALSE(ended[0].returning);
+    EXPECT_TRUE(ended[1].returning);
+}
+TEST_F(EngineTest, ManySessionsWithRandomEndingsAreEachAnsweredOnce) {
+    std::mt19937_64 random(11);
+    std::vector<std::unique_ptr<FakeWaiter>> waiters;
+    std::vector<io::Timer> timers;
+    std::size_t seen = 0;
+    for (int k = 0; k < 1500; ++k) {
+        waiters.push_back(std::make_unique<FakeWaiter>());
+        engine->open(ask("s" + std::to_string(k), static_cast<int>(random() % 2)), waiters.back().get());
+        for (; seen < nodes.set_ups.size(); ++seen) {
+            const auto s = nodes.set_ups[seen];
+            const double after = static_cast<double>(random() % 600);
+            const unsigned how = random() % 8;
+            if (how == 7) continue;  // lost
+            timers.push_back(loop.after(after, [this, s, how] {
+                if (how < 4) engine->started(s.session, s.attempt, "http://n/");
+                else engine->over(s.session, s.attempt, static_cast<Outcome>(how - 3), {});
+            }));
+            timers.push_back(loop.after(
+                after + 3000, [this, s] { engine->over(s.session, s.attempt, Outcome::ended, {}); }));
+        }
+        world.run_until(world.now() + 150);
+    }
+    world.run_until(world.now() + 60000);
+    for (const auto& w : waiters) EXPECT_EQ(w->heard.size(), 1u);
+    const Counts& c = engine->counts();
+    EXPECT_EQ(c.taken, c.played + c.refused + c.failed + c.abandoned);
+    EXPECT_EQ(engine->open_sessions(), 0u);
+    EXPECT_EQ(engine->playing(), 0u);
+    EXPECT_EQ(c.late, 0u);
+    EXPECT_GT(c.retries, 20u);
+}
+
+}  // namespace
