--- a/cmake/embed.cmake
+++ b/cmake/embed.cmake
@@ -1,5 +1,4 @@
-# Writes a header with the text of FILE as the constant NAME in ivyfield::config.
+# Writes a header with the text of FILE as the constant NAME in the namespace SPACE.
 file(READ ${FILE} text)
-file(WRITE ${OUT}.new "// Made by the build from ${FILE}.\n#pragma once\nnamespace ivyfield::config {\n"
-  "constexpr const char ${NAME}[] = R\"schema(${text})schema\";\n}  // namespace ivyfield::config\n")
-configure_file(${OUT}.new ${OUT} COPYONLY)
+file(WRITE ${OUT} "// Made by the build.\n#pragma once\nnamespace ${SPACE} {\n"
+  "constexpr const char ${NAME}[] = R\"schema(${text})schema\";\n}  // namespace ${SPACE}\n")
--- /dev/null
+++ b/src/audit/audit.cpp
@@ -0,0 +1,289 @@
+#include "audit/audit.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <set>
+#include <sstream>
+#include <tuple>
+
+namespace ivyfield::audit {
+
+using standins::Tap;
+
+const char* rule_name(int rule) {
+    static constexpr const char* names[] = {
+        "",           "no session lost",       "no set-up twice", "drains kept", "no cold node pushed over",
+        "terms kept", "attempts within budget"};
+    return rule >= 1 && rule <= 6 ? names[rule] : "?";
+}
+bool Verdict::kept(int rule) const {
+    return std::none_of(breaches.begin(), breaches.end(), [&](const Breach& b) { return b.rule == rule; });
+}
+
+namespace {
+
+class Judge {
+  public:
+    Judge(const std::vector<Tap>& taps, const Terms& terms, const std::vector<Outage>& outages)
+        : taps_(taps), terms_(terms), outages_(outages) {}
+    Verdict run() {
+        for (const Tap& t : taps_) {
+            if (t.what == "ask") on_ask(t);
+            else if (t.what == "answer" || t.what == "gave_up" || t.what == "left") on_answer(t);
+            else if (t.what == "setup") on_setup(t);
+            else if (t.what == "setup_over") on_setup_over(t);
+            else if (t.what == "ran") on_ran(t);
+            else if (t.what == "rung") on_rung(t);
+            else if (t.what == "end") on_end(t);
+            else if (t.what == "list_sent") on_list(t);
+            else if (t.what == "node_fell") on_fell(t);
+            else if (t.what == "node_start") on_start(t);
+            else if (t.what == "node_down") on_node_down(t);
+            else if (t.what == "hang") on_hang(t);
+            else if (t.what == "thaw") hung_.erase(t.where);
+        }
+        for (const auto& [who, ask] : asks_)
+            if (!down(ask.director, ask.at, ask.at + patience(ask.cls)))
+                breach(1, ask.at,
+                       ask.where + " (sid " + ask.sid + ") never heard an answer of " + ask.director);
+        return verdict_;
+    }
+
+  private:
+    void breach(int rule, double at, const std::string& what) {
+        verdict_.breaches.push_back({rule, at, what});
+    }
+    double patience(const std::string& cls) const {
+        const auto it = terms_.classes.find(cls);
+        return it == terms_.classes.end() ? 0 : it->second.patience;
+    }
+    bool paid(const std::string& cls) const {
+        const auto it = terms_.classes.find(cls);
+        return it != terms_.classes.end() && it->second.paid;
+    }
+    bool down(const std::string& director, double from, double to) const {
+        for (const Outage& o : outages_)
+            if (o.director == director && o.from <= to && from <= o.to) return true;
+        return false;
+    }
+
+    // ---- 1: one answer, in time ----
+    void on_ask(const Tap& t) {
+        verdict_.checked[1] += 1;
+        asks_[t.where] = t;
+        requests_[t.director].push_back(t.at);
+    }
+    void on_answer(const Tap& t) {
+        const auto it = asks_.find(t.where);
+        if (it == asks_.end()) return breach(1, t.at, t.where + " heard a second answer");
+        const Tap ask = it->second;
+        asks_.erase(it);
+        if (t.what == "left" || down(ask.director, ask.at, t.at)) return;
+        const double late = t.at - ask.at - patience(ask.cls) - terms_.answer_slack - terms_.network_slack;
+        if (t.what == "gave_up")
+            breach(1, t.at, t.where + " (sid " + t.sid + ") heard nothing of " + t.director + " in its time");
+        else if (t.status != 200 && t.status != 503 && t.status != 504)
+            breach(
+                1, t.at,
+                t.where + " (sid " + t.sid + ") heard \"" + t.answer + "\" of " + t.director + " that ran");
+        else if (late > 0)
+            breach(1, t.at,
+                   t.where + " (sid " + t.sid + ") was answered " + std::to_string(late) + " ms late");
+        // 2: refused though an attempt may have run.
+        if (t.status == 503 && paid(t.cls) && ask.text != "unknown") {
+            verdict_.checked[2] += 1;
+            for (const auto& [key, doubt] : doubts_)
+                if (doubt.director == t.director && doubt.sid == t.sid && doubt.title == t.title &&
+                    doubt.at >= ask.at)
+                    breach(2, t.at,
+                           "sid " + t.sid + " was refused by " + t.director + ", though an attempt at " +
+                               doubt.where + " may have run");
+        }
+    }
+
+    // ---- 2: no set-up twice, never two out ----
+    using Attempt = std::tuple<std::string, std::uint64_t, int>;
+    using Session = std::pair<std::string, std::uint64_t>;
+    void on_setup(const Tap& t) {
+        const Session session{t.director, t.session};
+        if (const auto it = out_.find(session); it != out_.end()) {
+            // Called off by closing its connection: that word may come a little after the next attempt.
+            // A node that stands still can't tell when that was.
+            if (!hung_.count(it->second.where)) pending_overlap_[session] = {it->second, t};
+        }
+        out_[session] = t;
+        if (t.attempt > 0 && paid(t.cls)) {
+            verdict_.checked[2] += 1;
+            for (const auto& [key, doubt] : doubts_)
+                if (std::get<0>(key) == t.director && std::get<1>(key) == t.session &&
+                    std::get<2>(key) < t.attempt)
+                    breach(2, t.at,
+                           "sid " + t.sid + ": " + t.director + " sent its paid set-up again to " + t.where +
+                               ", though an attempt at " + doubt.where + " may have run");
+        }
+        if (paid(t.cls)) doubts_[{t.director, t.session, t.attempt}] = t;
+        on_drained(t);
+        on_budget(t);
+        on_terms(t);
+    }
+    void on_setup_over(const Tap& t) {
+        const Session session{t.director, t.session};
+        if (const auto it = pending_overlap_.find(session);
+            it != pending_overlap_.end() && it->second.first.attempt == t.attempt) {
+            verdict_.checked[2] += 1;
+            if (t.at - it->second.second.at > terms_.network_slack &&
+                !down(t.director, it->second.first.at, t.at))
+                breach(2, t.at, "sid " + t.sid + ": two attempts of " + t.director + " were out at once");
+            pending_overlap_.erase(it);
+        }
+        if (const auto it = out_.find(session); it != out_.end() && it->second.attempt == t.attempt)
+            out_.erase(it);
+        // "Full" proves that it never ran.
+        if (t.answer == "full") doubts_.erase({t.director, t.session, t.attempt});
+        if (t.status == 200) playing_.insert({t.director, t.session, t.attempt});
+        else leave_seat({t.director, t.session, t.attempt});
+    }
+    void on_ran(const Tap& t) {
+        if (!paid(t.cls)) return;
+        verdict_.checked[2] += 1;
+        const auto [it, fresh] = ran_.emplace(Session{t.director, t.session}, t);
+        if (!fresh)
+            breach(2, t.at,
+                   "sid " + t.sid + " was set up twice by " + t.director + ": at " + it->second.where +
+                       " and at " + t.where);
+    }
+
+    // ---- 3: drains ----
+    void on_list(const Tap& t) {
+        std::istringstream words(t.text);
+        std::map<std::string, std::string> states;
+        for (std::string word; words >> word;) {
+            const std::size_t eq = word.rfind('=');
+            states[word.substr(0, eq)] = word.substr(eq + 1);
+        }
+        auto& told = told_[t.director];
+        for (auto& [node, since] : told)
+            if (!states.count(node) && since < 0) since = t.at;  // taken away
+        for (const auto& [node, state] : states) {
+            const auto it = told.find(node);
+            if (state == "ready") told[node] = -1;
+            else if (it == told.end() || it->second < 0) told[node] = t.at, verdict_.checked[3] += 1;
+        }
+    }
+    void on_drained(const Tap& t) {
+        const auto it = told_.find(t.director);
+        if (it == told_.end()) return;
+        const auto since = it->second.find(t.where);
+        if (since == it->second.end() || since->second < 0) return;
+        if (t.at > since->second + terms_.stop_within + terms_.network_slack &&
+            !down(t.director, since->second, t.at))
+            breach(3, t.at,
+                   t.director + " sent to " + t.where + " " + std::to_string(t.at - since->second) +
+                       " ms after it was told that it drains or is gone");
+    }
+
+    // ---- 4: cold nodes ----
+    void on_start(const Tap& t) {
+        if (t.answer == "cold") verdict_.checked[4] += 1;
+    }
+    void on_fell(const Tap& t) {
+        breach(4, t.at, t.where + " was pushed over while cold, last by " + t.director);
+    }
+
+    // ---- 5: floors and seats ----
+    void on_terms(const Tap& t) {
+        const auto it = terms_.classes.find(t.cls);
+        if (it == terms_.classes.end()) return;
+        floor(t, it->second);
+        if (it->second.seats <= 0) return;
+        verdict_.checked[5] += 1;
+        auto& held = seats_[{t.director, t.title, t.cls}];
+        // What an earlier life of the director set up is not this one's.
+        double born = -1;
+        for (const Outage& o : outages_)
+            if (o.died && o.director == t.director && o.from <= t.at) born = std::max(born, o.from);
+        for (auto one = held.begin(); one != held.end();)
+            one = one->second < born ? held.erase(one) : std::next(one);
+        held[{t.director, t.session, t.attempt}] = t.at;
+        seat_of_[{t.director, t.session, t.attempt}] = {{t.director, t.title, t.cls}, t.where};
+        if (static_cast<int>(held.size()) > it->second.seats)
+            breach(5, t.at,
+                   t.director + " holds " + std::to_string(held.size()) + " sessions of title " + t.title +
+                       " in class " + t.cls + ", which has " + std::to_string(it->second.seats) + " seats");
+    }
+    void floor(const Tap& t, const ClassTerms& terms) {
+        verdict_.checked[5] += 1;
+        if (t.rung < terms.floor)
+            breach(5, t.at,
+                   t.director + " set rung " + std::to_string(t.rung) + " for class " + t.cls +
+                       ", whose floor is " + std::to_string(terms.floor));
+    }
+    void on_rung(const Tap& t) {
+        const auto it = terms_.classes.find(t.cls);
+        if (it != terms_.classes.end()) floor(t, it->second);
+    }
+    void leave_seat(const Attempt& key) {
+        const auto it = seat_of_.find(key);
+        if (it == seat_of_.end()) return;
+        seats_[it->second.first].erase(key);
+        seat_of_.erase(it);
+    }
+    // All that played at the node is over, whether its director has heard of it or not.
+    void on_node_down(const Tap& t) { leave_seats_at(t.where, false); }
+    // A node that stands still does not see a set-up called off, nor tell of it: those are over when the
+    // director's own time for them is, which can't be seen here. Seats that play are held on.
+    void on_hang(const Tap& t) {
+        hung_.insert(t.where);
+        leave_seats_at(t.where, true);
+    }
+    void leave_seats_at(const std::string& node, bool only_out) {
+        std::vector<Attempt> gone;
+        for (const auto& [key, seat] : seat_of_)
+            if (seat.second == node && (!only_out || !playing_.count(key))) gone.push_back(key);
+        for (const Attempt& key : gone) leave_seat(key);
+    }
+    void on_end(const Tap& t) { leave_seat({t.director, t.session, t.attempt}); }
+
+    // ---- 6: budget ----
+    void on_budget(const Tap& t) {
+        if (!terms_.budget || t.attempt == 0) return;
+        verdict_.checked[6] += 1;
+        auto& again = again_[t.director];
+        auto& requests = requests_[t.director];
+        again.push_back(t.at);
+        // Taps are a little later than the director's own clock: the window of requests is a little longer.
+        const double from = t.at - terms_.budget_window;
+        while (!again.empty() && again.front() <= from) again.pop_front();
+        while (!requests.empty() && requests.front() <= from - 2 * terms_.network_slack) requests.pop_front();
+        const double most =
+            terms_.budget_free + terms_.budget_per_request * static_cast<double>(requests.size());
+        if (static_cast<double>(again.size()) > most + 1e-9)
+            breach(6, t.at,
+                   t.director + " made " + std::to_string(again.size()) +
+                       " further attempts in a window that allows " + std::to_string(most));
+    }
+
+    const std::vector<Tap>& taps_;
+    const Terms& terms_;
+    const std::vector<Outage>& outages_;
+    Verdict verdict_;
+    std::map<std::string, Tap> asks_;  // by player
+    std::map<Session, Tap> out_, ran_;
+    std::map<Session, std::pair<Tap, Tap>> pending_overlap_;
+    std::map<Attempt, Tap> doubts_;  // paid attempts not proved never to have run
+    std::map<std::string, std::map<std::string, double>>
+        told_;  // director, node: told not to send since; -1: may
+    std::map<std::tuple<std::string, std::string, std::string>, std::map<Attempt, double>> seats_;
+    std::map<Attempt, std::pair<std::tuple<std::string, std::string, std::string>, std::string>> seat_of_;
+    std::set<Attempt> playing_;
+    std::map<std::string, std::deque<double>> requests_, again_;
+    std::set<std::string> hung_;
+};
+
+}  // namespace
+
+Verdict judge(const std::vector<Tap>& taps, const Terms& terms, const std::vector<Outage>& outages) {
+    return Judge(taps, terms, outages).run();
+}
+
+}  // namespace ivyfield::audit
--- a/src/cli/director.cpp
+++ b/src/cli/director.cpp
@@ -37,6 +37,7 @@
               discovery::ConsulSettings s;
               s.address = config.consul;
               s.service = config.service;
+              s.agent = "ivyfield/" + config.name;
               s.kinds = config.kinds;
               s.wait = config.list_wait_ms;
               s.stale = config.list_stale;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -5,6 +5,7 @@
 #include <exception>
 #include <iostream>
 
+#include "cli/day_command.hpp"
 #include "cli/director.hpp"
 #include "cli/hints_command.hpp"
 #include "io/ev/ev_loop.hpp"
@@ -34,6 +35,94 @@
     return 0;
 }
 
+int play(const std::string& path, std::optional<std::uint64_t> seed, bool simulated,
+         const cli::DayOptions& options) {
+    const day::LoadedDay loaded = day::load_day(config::read_file(path));
+    for (const config::Fault& f : loaded.faults)
+        std::cerr << path << ": " << (f.path.empty() ? "/" : f.path) << ": " << f.why << "\n";
+    if (!loaded.faults.empty()) return 2;
+    ::signal(SIGPIPE, SIG_IGN);
+    const std::uint64_t with = seed.value_or(loaded.day.seed);
+    const day::Report report = simulated ? cli::play_virtual_day(loaded.day, with, options)
+                                         : cli::play_day(loaded.day, with, options);
+    std::cout << report.table();
+    return report.good() ? 0 : 1;
+}
+
+// A node, alone on its rack, until it is stopped.
+int node(const standins::NodeSettings& settings, double link_kb, int streams, bool warm) {
+    ::signal(SIGPIPE, SIG_IGN);
+    io::EvLoop loop(io::system_seed());
+    fleet::FleetSpec spec;
+    spec.rack_kb = {1e12};
+    spec.refuses_from = 1;
+    fleet::Fleet fleet(spec);
+    const int number = fleet.add({0, link_kb, streams});
+    standins::Node one(loop, fleet, number, settings, [](const standins::Tap& t) {
+        std::cout << nlohmann::ordered_json{{"at", t.at},
+                                            {"what", t.what},
+                                            {"director", t.director},
+                                            {"session", t.session},
+                                            {"attempt", t.attempt},
+                                            {"sid", t.sid},
+                                            {"status", t.status},
+                                            {"answer", t.answer}}
+                         .dump()
+                  << std::endl;
+    });
+    one.start(warm);
+    std::cerr << "node " << settings.name << " at " << one.address().text() << "\n";
+    for (const int signal : {SIGINT, SIGTERM}) loop.on_signal(signal, [&] { loop.stop(); });
+    loop.run();
+    return 0;
+}
+
+// The list: instances given as ID=ADDRESS[:KIND]... until it is stopped.
+int list(const std::string& listen, const std::string& service, const std::vector<std::string>& nodes) {
+    ::signal(SIGPIPE, SIG_IGN);
+    io::EvLoop loop(io::system_seed());
+    standins::List one(loop, io::Address::parse(listen), service, {});
+    int position = 0;
+    for (const std::string& text : nodes) {
+        const std::size_t eq = text.find('='), at = text.rfind('@');
+        if (eq == std::string::npos || at == std::string::npos || at < eq)
+            throw std::invalid_argument("\"" + text + "\": wanted ID=ADDRESS:PORT@KIND");
+        standins::Listed entry;
+        entry.id = text.substr(0, eq);
+        entry.address = io::Address::parse(text.substr(eq + 1, at - eq - 1));
+        entry.kind = text.substr(at + 1);
+        entry.position = position++;
+        one.set(entry);
+    }
+    std::cerr << "list at " << one.address().text() << "\n";
+    for (const int signal : {SIGINT, SIGTERM}) loop.on_signal(signal, [&] { loop.stop(); });
+    loop.run();
+    return 0;
+}
+
+// One viewer, who prints what happens to it.
+int play_one(const std::string& director, standins::ViewerSettings v) {
+    ::signal(SIGPIPE, SIG_IGN);
+    io::EvLoop loop(io::system_seed());
+    http::Client client(loop, {});
+    const io::Address address = io::Address::parse(director);
+    bool started = false;
+    standins::Viewer viewer(
+        loop, client, v, [&] { return std::make_pair(std::string("director"), address); },
+        [&](const standins::Tap& t) {
+            std::cout << std::llround(loop.now()) << " " << t.what << (t.answer.empty() ? "" : " ")
+                      << t.answer << std::endl;
+        },
+        [&](const standins::ViewerResult& r) {
+            started = r.started;
+            std::cout << (r.started ? "played" : "did not play") << " after " << r.tries << " tries, worth "
+                      << r.earned << " of " << r.offered << std::endl;
+            loop.stop();
+        });
+    loop.run();
+    return started ? 0 : 1;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -58,6 +147,74 @@
     check_command->add_option("file", file)->required();
     check_command->callback([&] { code = check(file); });
 
+    std::uint64_t seed = 0;
+    bool simulated = false;
+    ivyfield::cli::DayOptions day_options;
+    CLI::App* day_command = app.add_subcommand(
+        "day",
+        "Play a day file: directors in processes of their own, list, nodes and players on loopback; print\n"
+        "what became of the sessions and the verdict on the six rules. Exit code 1: a rule was broken.\n"
+        "Example:  ivyfield day examples/days/bad-day.json --seed 7 --report report.json");
+    day_command->add_option("file", file, "see config/day.schema.json")->required();
+    CLI::Option* seed_option = day_command->add_option("--seed", seed, "instead of the file's");
+    day_command->add_flag("--virtual", simulated, "simulated time and network, all in this process");
+    day_command->add_option("--report", day_options.report, "write the report as JSON");
+    day_command->add_option("--logs", day_options.logs, "an existing folder for the directors' logs");
+    day_command->add_option("--taps", day_options.taps, "write what crossed the sockets, as JSON lines");
+    day_command->callback([&] {
+        code = play(file, *seed_option ? std::optional<std::uint64_t>(seed) : std::nullopt, simulated,
+                    day_options);
+    });
+
+    ivyfield::standins::NodeSettings node_settings;
+    node_settings.rung_kb = {134, 230, 396, 683, 1177};
+    std::string listen = "127.0.0.1:0";
+    double link_kb = 20000;
+    int streams = 100;
+    bool cold = false;
+    CLI::App* node_command = app.add_subcommand(
+        "node",
+        "Run a stand-in media node; prints what happens to it.\n"
+        "Example:  ivyfield node --name n1 --listen 127.0.0.1:9001 --link-kb 20000 --streams 50");
+    node_command->add_option("--name", node_settings.name);
+    node_command->add_option("--listen", listen)->capture_default_str();
+    node_command->add_option("--link-kb", link_kb, "kB a second")->capture_default_str();
+    node_command->add_option("--streams", streams)->capture_default_str();
+    node_command->add_option("--rungs-kb", node_settings.rung_kb, "the ladder")->delimiter(',');
+    node_command->add_option("--media", node_settings.media, "serve RUNG/NUMBER.ts of this folder");
+    node_command->add_flag("--cold", cold);
+    node_command->callback([&] {
+        node_settings.listen = ivyfield::io::Address::parse(listen);
+        code = node(node_settings, link_kb, streams, !cold);
+    });
+    std::string service = "media";
+    std::vector<std::string> instances;
+    CLI::App* list_command = app.add_subcommand(
+        "list",
+        "Run a stand-in server list that answers as Consul's health API does.\n"
+        "Example:  ivyfield list --listen 127.0.0.1:8500 n1=127.0.0.1:9001@small n2=127.0.0.1:9002@large");
+    list_command->add_option("--listen", listen)->capture_default_str();
+    list_command->add_option("--service", service)->capture_default_str();
+    list_command->add_option("instances", instances, "ID=ADDRESS:PORT@KIND")->required();
+    list_command->callback([&] { code = list(listen, service, instances); });
+    std::string director = "127.0.0.1:8080";
+    ivyfield::standins::ViewerSettings viewer;
+    viewer.rung_kb = node_settings.rung_kb;
+    viewer.rung_worth = {0.16, 0.4, 0.61, 0.81, 1.0};
+    viewer.top = 4;
+    viewer.name = "viewer";
+    CLI::App* play_command = app.add_subcommand("play",
+                                                "Play one session as a viewer would and print what happens.\n"
+                                                "Example:  ivyfield play --director 127.0.0.1:8080 --tenant "
+                                                "south-donors --class prep-video --title t1");
+    play_command->add_option("--director", director)->capture_default_str();
+    play_command->add_option("--tenant", viewer.tenant)->required();
+    play_command->add_option("--class", viewer.cls)->required();
+    play_command->add_option("--title", viewer.title)->required();
+    play_command->add_option("--sid", viewer.sid, "CMCD's sid")->default_val("one-viewer");
+    play_command->add_option("--length-ms", viewer.length)->default_val(10000);
+    play_command->callback([&] { code = play_one(director, viewer); });
+
     CLI::App* hints = app.add_subcommand("hints", "CMCD and CMSD payloads to JSON and back, a line each");
     hints->require_subcommand(1);
     std::string kind;
--- a/src/discovery/consul.cpp
+++ b/src/discovery/consul.cpp
@@ -117,6 +117,7 @@
                      "?wait=" + std::to_string(static_cast<long>(settings_.wait)) + "ms";
     if (index_ > 0) request.target += "&index=" + std::to_string(index_);
     if (settings_.stale) request.target += "&stale";
+    request.headers.add("User-Agent", settings_.agent);
     http::CallOptions options;
     options.connect_timeout = settings_.connect_timeout;
     // Consul adds up to a sixteenth of the wait, so that not all askers come back at once.
--- a/src/discovery/consul.hpp
+++ b/src/discovery/consul.hpp
@@ -40,6 +40,7 @@
 struct ConsulSettings {
     io::Address address;
     std::string service;
+    std::string agent = "ivyfield";  // User-Agent, by which the list's log tells its askers apart
     std::vector<std::string> kinds;
     io::Time wait = 30000, connect_timeout = 1000, retry = 500, retry_most = 10000, longest_stale = 60000;
     bool stale = true;
--- /dev/null
+++ b/src/io/ev/child.cpp
@@ -0,0 +1,72 @@
+#include "io/ev/child.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+extern char** environ;
+
+namespace ivyfield::io {
+
+Child::Child(const std::vector<std::string>& command, const std::string& output) {
+    std::vector<char*> args;
+    for (const std::string& arg : command) args.push_back(const_cast<char*>(arg.c_str()));
+    args.push_back(nullptr);
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    const std::string out = output.empty() ? "/dev/null" : output;
+    posix_spawn_file_actions_addopen(&files, 0, "/dev/null", O_RDONLY, 0);
+    posix_spawn_file_actions_addopen(&files, 1, out.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&files, 1, 2);
+    const int error = posix_spawn(&pid_, args[0], &files, nullptr, args.data(), environ);
+    posix_spawn_file_actions_destroy(&files);
+    if (error) throw std::runtime_error("can't start " + command.front() + ": " + std::strerror(error));
+}
+Child::~Child() { kill(); }
+
+bool Child::running() {
+    if (pid_ < 0) return false;
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) != pid_) return true;
+    code_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    pid_ = -1;
+    return false;
+}
+void Child::kill() {
+    if (!running()) return;
+    ::kill(pid_, SIGKILL);
+    int status = 0;
+    while (waitpid(pid_, &status, 0) < 0 && errno == EINTR) {
+    }
+    code_ = 128 + SIGKILL;
+    pid_ = -1;
+}
+void Child::stall(bool on) {
+    if (running()) ::kill(pid_, on ? SIGSTOP : SIGCONT);
+}
+
+std::string own_program() { return std::filesystem::read_symlink("/proc/self/exe").string(); }
+std::string temporary_folder() {
+    std::string path = (std::filesystem::temp_directory_path() / "ivyfield-XXXXXX").string();
+    if (!mkdtemp(path.data())) throw std::runtime_error("can't make a temporary folder: " + path);
+    return path;
+}
+void write_file(const std::string& path, const std::string& text) {
+    std::ofstream out(path, std::ios::binary);
+    out << text;
+    if (!out.flush()) throw std::runtime_error("can't write " + path);
+}
+void remove_folder(const std::string& path) {
+    std::error_code ignored;
+    std::filesystem::remove_all(path, ignored);
+}
+
+}  // namespace ivyfield::io
--- /dev/null
+++ b/src/io/ev/child.hpp
@@ -0,0 +1,31 @@
+// Child processes: started, stopped, continued and killed by id. Only our own.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace ivyfield::io {
+
+class Child {
+  public:
+    // Starts the program; its output goes to the file, or to nowhere. Throws std::runtime_error.
+    Child(const std::vector<std::string>& command, const std::string& output);
+    ~Child();  // kills it
+    Child(const Child&) = delete;
+    Child& operator=(const Child&) = delete;
+    bool running();
+    int exit_code() const { return code_; }  // of one that ended; a signal counts as 128 and its number
+    void kill();
+    void stall(bool on);
+
+  private:
+    int pid_ = -1, code_ = 0;
+};
+
+std::string own_program();  // the path of this program
+// A fresh folder for this run, removed by the caller. Throws std::runtime_error.
+std::string temporary_folder();
+void write_file(const std::string& path, const std::string& text);
+void remove_folder(const std::string& path);
+
+}  // namespace ivyfield::io
--- a/src/io/virtual/world.cpp
+++ b/src/io/virtual/world.cpp
@@ -20,10 +20,12 @@
     bool open = false, paused = false, ending = false, end_sent = false, peer_ended = false, over = false;
 
     std::size_t left() const { return out.size() - taken; }
-    void close_with(Closing why) {
-        if (over) return;
-        over = true;
-        if (handler && !loop->dead()) handler->on_closed(why);
+    static void close(const std::shared_ptr<End>& end, Closing why) {
+        World::in(*end->loop, [end, why] {
+            if (end->over) return;
+            end->over = true;
+            if (end->handler) end->handler->on_closed(why);
+        });
     }
 };
 
@@ -65,7 +67,8 @@
         end_->paused = false;
         const auto keep = end_;
         World& world = world_;
-        world.later(world.now(), [&world, keep] { drain(world, keep); });
+        world.later(world.now(),
+                    [&world, keep] { World::in(*keep->loop, [&world, keep] { drain(world, keep); }); });
     }
     Address peer() const override { return end_->peer; }
     Address local() const override { return end_->local; }
@@ -73,7 +76,7 @@
     static void reset_other(World& world, End& e) {
         const auto other = e.other.lock();
         if (!other) return;
-        world.later(world.now() + world.delay(), [other] { other->close_with(Closing::reset); });
+        world.later(world.now() + world.delay(), [other] { End::close(other, Closing::reset); });
     }
     // Puts as much on the way as the window takes.
     static void pump(World& world, const std::shared_ptr<End>& end) {
@@ -98,12 +101,12 @@
                 w.reset_chance > 0 && std::bernoulli_distribution(w.reset_chance)(world.random_);
             world.later(e.last_arrival, [&world, end, other, breaks, piece = std::move(piece)]() mutable {
                 if (breaks) {
-                    other->close_with(Closing::reset);
-                    end->close_with(Closing::reset);
+                    End::close(other, Closing::reset);
+                    End::close(end, Closing::reset);
                     return;
                 }
                 other->unread.push_back(std::move(piece));
-                drain(world, other);
+                World::in(*other->loop, [&world, other] { drain(world, other); });
             });
         }
         if (e.out.empty() && e.ending && !e.end_sent) {
@@ -111,13 +114,15 @@
             e.last_arrival = std::max(e.last_arrival, world.now() + world.delay());
             world.later(e.last_arrival, [&world, other] {
                 other->unread.emplace_back();
-                drain(world, other);
+                World::in(*other->loop, [&world, other] { drain(world, other); });
             });
             finish(world, end);
         }
         if (had && e.out.empty())
             world.later(world.now(), [end] {
-                if (!end->over && end->handler && !end->loop->dead()) end->handler->on_drained();
+                World::in(*end->loop, [end] {
+                    if (!end->over && end->handler) end->handler->on_drained();
+                });
             });
     }
     // Hands over what has arrived.
@@ -141,7 +146,7 @@
     }
     static void finish(World& world, const std::shared_ptr<End>& end) {
         if (end->peer_ended && end->end_sent)
-            world.later(world.now(), [end] { end->close_with(Closing::clean); });
+            world.later(world.now(), [end] { End::close(end, Closing::clean); });
     }
 
   private:
@@ -205,6 +210,20 @@
     loops_.erase(it);
 }
 
+void World::in(VirtualLoop& loop, Loop::Task task) {
+    if (loop.dead_) return;
+    if (loop.stalled_) return loop.waiting_.push_back(std::move(task));
+    task();
+}
+void World::stall(VirtualLoop& loop, bool on) {
+    loop.stalled_ = on;
+    if (on) return;
+    // All at once and in order; what a task adds comes behind.
+    auto waiting = std::move(loop.waiting_);
+    loop.waiting_.clear();
+    for (auto& task : waiting) in(loop, std::move(task));
+}
+
 bool World::step() {
     if (tasks_.empty()) return false;
     now_ = std::max(now_, tasks_.first());
@@ -238,7 +257,7 @@
     auto cell = std::make_shared<std::uint64_t>(0);
     *cell = world_.tasks_.add(std::max(when, world_.now_), [this, cell, task = std::move(task)] {
         live_.erase(*cell);
-        task();
+        World::in(*this, task);
     });
     live_.insert(*cell);
     return *cell;
@@ -275,13 +294,13 @@
     ends_.push_back(mine);
     const Time give_up = world.now() + timeout;
     world.later(give_up, [mine] {
-        if (!mine->open) mine->close_with(Closing::unreachable);
+        if (!mine->open) End::close(mine, Closing::unreachable);
     });
     const Time arrives = world.now() + world.delay();
     const auto knock = [&world, mine, address](auto&& again) -> void {
         const auto it = world.listeners_.find(address);
         if (it == world.listeners_.end()) {
-            world.later(world.now() + world.delay(), [mine] { mine->close_with(Closing::refused); });
+            world.later(world.now() + world.delay(), [mine] { End::close(mine, Closing::refused); });
             return;
         }
         VirtualListener& listener = *it->second;
@@ -299,12 +318,20 @@
         mine->other = theirs;
         listener.loop_.ends_.push_back(theirs);
         world.later(world.now() + world.delay(), [&world, mine] {
-            if (mine->over) return;
-            mine->open = true;
-            if (mine->handler && !mine->loop->dead()) mine->handler->on_open();
-            VirtualStream::pump(world, mine);
+            World::in(*mine->loop, [&world, mine] {
+                if (mine->over) return;
+                mine->open = true;
+                if (mine->handler) mine->handler->on_open();
+                VirtualStream::pump(world, mine);
+            });
+        });
+        // The system's queue takes the connection; the process accepts it when it runs.
+        World::in(listener.loop_, [&world, theirs, address] {
+            const auto now = world.listeners_.find(address);
+            if (now != world.listeners_.end() && &now->second->loop_ == theirs->loop)
+                now->second->accept_(std::make_unique<VirtualStream>(world, theirs));
+            else VirtualStream::reset_other(world, *theirs);
         });
-        listener.accept_(std::make_unique<VirtualStream>(world, theirs));
     };
     world.later(arrives, [knock] { knock(knock); });
     return std::make_unique<VirtualStream>(world, mine);
--- a/src/io/virtual/world.hpp
+++ b/src/io/virtual/world.hpp
@@ -37,6 +37,8 @@
     // The process is gone: its timers never fire, peers of its streams see a reset, its ports are free.
     // What it owned must be destroyed by the caller, before or after.
     void kill(VirtualLoop& loop);
+    // The process stands still: what would happen in it waits, and all of it happens when it goes on.
+    void stall(VirtualLoop& loop, bool on);
 
     Time now() const { return now_; }
     std::uint64_t steps() const { return steps_; }
@@ -55,6 +57,8 @@
     friend class VirtualListener;
     void later(Time when, Loop::Task task) { tasks_.add(when, std::move(task)); }
     Time delay();
+    // Runs the task in the process, or keeps it while that stands still; drops it when that is dead.
+    static void in(VirtualLoop& loop, Loop::Task task);
 
     Time now_ = 0;
     std::uint64_t steps_ = 0;
@@ -90,7 +94,8 @@
     World& world_;
     std::string name_;
     std::mt19937_64 random_;
-    bool dead_ = false;
+    bool dead_ = false, stalled_ = false;
+    std::vector<Task> waiting_;     // what fell due while the process stood still
     std::set<std::uint64_t> live_;  // own timers in the world's queue
     std::vector<std::weak_ptr<World::End>> ends_;
 };
--- /dev/null
+++ b/src/standins/list.cpp
@@ -0,0 +1,111 @@
+#include "standins/list.hpp"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace ivyfield::standins {
+
+using nlohmann::json;
+
+List::List(io::Loop& loop, const io::Address& listen, std::string service, TapSink tap)
+    : loop_(loop),
+      service_(std::move(service)),
+      tap_(std::move(tap)),
+      server_(loop, listen, {}, [this](const http::ExchangePtr& e) { serve(e); }) {}
+
+void List::later(std::function<void()> change) {
+    if (late_ <= 0) return change();
+    const std::uint64_t id = ++next_;
+    changes_[id] = loop_.after(late_, [this, id, change] {
+        const io::Timer self = std::move(changes_[id]);
+        changes_.erase(id);
+        change();
+    });
+}
+void List::set(const Listed& one) {
+    later([this, one] {
+        all_[one.id] = one;
+        changed();
+    });
+}
+void List::remove(const std::string& id) {
+    later([this, id] {
+        all_.erase(id);
+        changed();
+    });
+}
+void List::stale(bool on) {
+    if (on && !stale_) stale_copy_ = all_;
+    stale_ = on;
+    if (!on) changed();
+}
+void List::changed() {
+    index_ += 1;
+    if (stale_) return;
+    auto waiting = std::move(waiting_);
+    waiting_.clear();
+    for (auto& [id, one] : waiting) answer(one.exchange);
+}
+
+void List::serve(const http::ExchangePtr& e) {
+    const http::Request& request = e->request();
+    if (request.path() != "/v1/health/service/" + service_)
+        return e->respond(http::plain(404, "no such service"));
+    const std::string index = http::query_argument(request.query(), "index").value_or("0");
+    std::string wait = http::query_argument(request.query(), "wait").value_or("300s");
+    if (index != std::to_string(index_) && !(stale_ && index != "0")) return answer(e);
+    double ms = 300000;
+    if (wait.size() > 2 && wait.substr(wait.size() - 2) == "ms") ms = std::atof(wait.c_str());
+    else if (!wait.empty() && wait.back() == 's') ms = std::atof(wait.c_str()) * 1000;
+    const std::uint64_t id = ++next_;
+    Waiting& w = waiting_[id];
+    w.exchange = e;
+    w.until = loop_.after(std::min(std::max(ms, 0.0), 600000.0), [this, id] {
+        const http::ExchangePtr exchange = waiting_.at(id).exchange;
+        waiting_.erase(id);
+        answer(exchange);
+    });
+    e->on_gone([this, id] { loop_.post([this, id] { waiting_.erase(id); }); });
+}
+
+void List::answer(const http::ExchangePtr& e) {
+    if (e->gone()) return;
+    e->on_gone(nullptr);
+    json body = json::array();
+    Tap t;
+    t.what = "list_sent";
+    t.at = loop_.now();
+    t.where = "list";
+    t.director = std::string(e->request().headers.get("User-Agent").value_or(""));
+    if (const std::size_t slash = t.director.find('/'); slash != std::string::npos)
+        t.director.erase(0, slash + 1);
+    for (const auto& [id, one] : stale_ ? stale_copy_ : all_) {
+        json meta = {{"position", std::to_string(one.position)},
+                     {"weight", json(one.weight).dump()},
+                     {"kind", one.kind},
+                     {"zone", std::to_string(one.zone)}};
+        if (one.state == "draining") meta["state"] = "draining";
+        if (one.started_wall_ms > 0) meta["started_ms"] = std::to_string(std::llround(one.started_wall_ms));
+        const char* check = one.state == "gone" ? "critical" : "passing";
+        body.push_back({{"Node", {{"Node", id}, {"Address", one.address.host}}},
+                        {"Service",
+                         {{"ID", id},
+                          {"Service", service_},
+                          {"Address", one.address.host},
+                          {"Port", one.address.port},
+                          {"Weights", {{"Passing", 1}, {"Warning", 1}}},
+                          {"Meta", meta}}},
+                        {"Checks", json::array({{{"CheckID", "service:" + id}, {"Status", check}}})}});
+        t.text += (t.text.empty() ? "" : " ") + id + "=" + one.state;
+    }
+    http::Response r;
+    r.headers.add("Content-Type", "application/json");
+    r.headers.add("X-Consul-Index", std::to_string(index_));
+    r.headers.add("X-Consul-KnownLeader", "true");
+    r.headers.add("X-Consul-LastContact", "0");
+    r.body = body.dump();
+    if (tap_) tap_(t);
+    e->respond(r);
+}
+
+}  // namespace ivyfield::standins
--- /dev/null
+++ b/src/standins/node.cpp
@@ -0,0 +1,436 @@
+#include "standins/node.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "hints/keys.hpp"
+
+namespace ivyfield::standins {
+
+using nlohmann::json;
+
+namespace {
+
+std::vector<std::string> parts_of(std::string_view path) {
+    std::vector<std::string> out;
+    while (!path.empty()) {
+        path.remove_prefix(1);
+        const std::size_t slash = std::min(path.find('/'), path.size());
+        out.push_back(http::percent_decode(path.substr(0, slash)).value_or(""));
+        path.remove_prefix(slash);
+    }
+    return out;
+}
+std::optional<std::uint64_t> number_of(const std::string& text) {
+    if (text.empty() || text.size() > 16 || text.find_first_not_of("0123456789") != std::string::npos)
+        return std::nullopt;
+    return std::stoull(text);
+}
+http::Response json_response(int status, const json& body) {
+    http::Response r;
+    r.status = status;
+    r.headers.add("Content-Type", "application/json");
+    r.body = body.dump();
+    return r;
+}
+std::string hex(std::uint64_t bits) {
+    static constexpr char digits[] = "0123456789abcdef";
+    std::string out;
+    for (int k = 0; k < 16; ++k, bits >>= 4) out += digits[bits & 15];
+    return out;
+}
+
+}  // namespace
+
+Node::Node(io::Loop& loop, fleet::Fleet& fleet, int number, NodeSettings settings, TapSink tap)
+    : loop_(loop),
+      fleet_(fleet),
+      number_(number),
+      settings_(std::move(settings)),
+      tap_(std::move(tap)),
+      address_(settings_.listen) {}
+Node::~Node() = default;
+
+void Node::tap(Tap t) {
+    t.at = loop_.now();
+    t.where = settings_.name;
+    if (tap_) tap_(t);
+}
+
+void Node::start(bool warm) {
+    fleet_.start(number_, loop_.now(), warm);
+    boot_ = hex(loop_.random()());
+    http::ServerLimits limits;
+    limits.stuck = 5000;
+    server_ = std::make_unique<http::Server>(loop_, address_, limits,
+                                             [this](const http::ExchangePtr& e) { serve(e); });
+    address_ = server_->address();
+    hung_ = false;
+    reports_.clear();
+    refresh();
+    tick();
+    Tap t;
+    t.what = "node_start";
+    t.answer = warm ? "warm" : "cold";
+    tap(t);
+}
+void Node::crash() {
+    if (hung_) {
+        Tap t;
+        t.what = "thaw";
+        tap(t);
+    }
+    hung_ = false;
+    Tap down;
+    down.what = "node_down";
+    tap(down);
+    server_.reset();  // first: what is dropped unanswered behind it has no connection to be answered on
+    setting_.clear();
+    sessions_.clear();
+    tokens_.clear();
+    streams_.clear();
+    stopped_.clear();
+    was_short_.clear();
+    tick_.stop(), refresh_.stop();
+    if (fleet_.up(number_)) fleet_.stop(number_);
+}
+void Node::hang(bool on) {
+    if (on == hung_ || !server_) return;
+    hung_ = on;
+    Tap t;
+    t.what = on ? "hang" : "thaw";
+    tap(t);
+    if (on) return server_->freeze();
+    server_->thaw();
+    const auto work = std::move(stopped_);
+    stopped_.clear();
+    for (const auto& one : work) one();
+}
+
+double Node::kb(const std::string& cls, int rung) const {
+    for (const NodeClass& c : settings_.classes)
+        if (c.name == cls) return settings_.rung_kb.at(static_cast<std::size_t>(rung)) * c.rate_part;
+    return settings_.rung_kb.at(static_cast<std::size_t>(rung));
+}
+
+void Node::serve(const http::ExchangePtr& e) {
+    const auto parts = parts_of(e->request().path());
+    const std::string& method = e->request().method;
+    if (parts.size() == 2 && parts[0] == "v1" && parts[1] == "sessions" && method == "POST") return set_up(e);
+    if (parts.size() >= 5 && parts[0] == "v1" && parts[1] == "sessions") return command(e, parts);
+    if (parts.size() == 2 && parts[0] == "v1" && parts[1] == "load" && method == "GET") {
+        const io::Time seen = loop_.now() - late_;
+        std::string text = reports_.front().second;
+        for (const auto& [made, report] : reports_)
+            if (made <= seen) text = report;
+        http::Response r;
+        r.headers.add("Content-Type", "application/json");
+        r.body = text;
+        return e->respond(r);
+    }
+    if (parts.size() == 2 && parts[0] == "v1" && parts[1] == "events" && method == "GET") return events(e);
+    if (parts.size() == 4 && parts[0] == "media") return media(e, parts);
+    e->respond(http::plain(404, "nothing here"));
+}
+
+// ---- Set-ups ----
+
+void Node::set_up(const http::ExchangePtr& e) {
+    const json body = json::parse(e->request().body, nullptr, false);
+    Tap t;
+    t.what = "setup";
+    try {
+        t.director = body.at("director").get<std::string>();
+        t.session = body.at("session").get<std::uint64_t>();
+        t.attempt = body.at("attempt").get<int>();
+        t.sid = body.at("sid").get<std::string>();
+        t.cls = body.at("class").get<std::string>();
+        t.title = body.at("title").get<std::string>();
+        t.tenant = body.value("tenant", "");
+        t.rung = body.at("rung").get<int>();
+        t.paid = body.at("paid").get<bool>();
+        if (t.rung < 0 || t.rung >= static_cast<int>(settings_.rung_kb.size()))
+            throw std::invalid_argument("rung is not on the ladder");
+    } catch (const std::exception& why) {
+        return e->respond(http::plain(400, why.what()));
+    }
+    const Key key{t.director, t.session, t.attempt};
+    tap(t);
+    const auto over = [this, t](int status, const char* how) {
+        Tap o = t;
+        o.what = "setup_over";
+        o.status = status;
+        o.answer = how;
+        tap(o);
+    };
+    const auto chance = [this](double p) { return p > 0 && std::bernoulli_distribution(p)(loop_.random()); };
+    if (chance(fail_)) {
+        over(500, "error");
+        return e->respond(http::plain(500, "this node is broken"));
+    }
+    switch (fleet_.set_up(number_, loop_.now())) {
+        case fleet::SetUpVerdict::fell: {
+            Tap fell = t;
+            fell.what = "node_fell";
+            tap(fell);
+            over(0, "broke");
+            loop_.post([this] { crash(); });
+            return e->break_off();
+        }
+        case fleet::SetUpVerdict::full: {
+            http::Response r = json_response(503, {{"why", "full"}});
+            r.headers.add("X-Ivyfield-Unseen", "1");
+            over(503, "full");
+            return e->respond(r);
+        }
+        case fleet::SetUpVerdict::taken:
+            break;
+    }
+    auto setting = std::make_unique<Setting>();
+    setting->exchange = e;
+    e->on_gone([this, key, over] {
+        // The director has called it off, or died: what was not done yet is not done.
+        const auto it = setting_.find(key);
+        over(0, "gone");
+        if (it == setting_.end()) return;
+        it->second->exchange.reset();
+        if (hung_) return;
+        setting_.erase(it);
+        fleet_.drop(number_);
+    });
+    const double work =
+        std::uniform_real_distribution<double>(settings_.setup_least, settings_.setup_most)(loop_.random());
+    setting->timer = loop_.after(work, [this, key, t] { set_up_done(key, t, t.rung); });
+    setting_.emplace(key, std::move(setting));
+    if (t.paid && freeze_paid_) {
+        freeze_paid_ = false;
+        loop_.post([this] { hang(true); });
+    }
+}
+
+void Node::set_up_done(const Key& key, const Tap& from, int rung) {
+    if (hung_) {
+        stopped_.push_back([this, key, from, rung] { set_up_done(key, from, rung); });
+        return;
+    }
+    const auto it = setting_.find(key);
+    if (it == setting_.end()) return;
+    const std::unique_ptr<Setting> setting = std::move(it->second);
+    setting_.erase(it);
+    Tap ran = from;
+    ran.what = "ran";
+    tap(ran);
+    auto session = std::make_unique<Session>();
+    session->token = hex(loop_.random()());
+    session->sid = from.sid, session->cls = from.cls, session->title = from.title;
+    session->rung = rung;
+    fleet::StreamSpec stream;
+    stream.kb = kb(from.cls, rung);
+    stream.rung = rung;
+    for (const NodeClass& c : settings_.classes)
+        if (c.name == from.cls && c.live) stream.share = from.cls + "/" + from.title;
+    session->stream = fleet_.begin(number_, stream);
+    session->idle = loop_.after(settings_.idle, [this, key] { end(key, "ended"); });
+    tokens_[session->token] = key;
+    const std::string token = session->token;
+    sessions_.emplace(key, std::move(session));
+    const http::ExchangePtr e = setting->exchange;
+    if (!e || e->gone()) return;
+    e->on_gone(nullptr);
+    Tap over = from;
+    over.what = "setup_over";
+    if (lose_ > 0 && std::bernoulli_distribution(lose_)(loop_.random())) {
+        // Held open unanswered: the director's own time must end it.
+        over.answer = "lost";
+        auto held = std::make_shared<http::ExchangePtr>(e);
+        e->on_gone([this, over, held] {
+            tap(over);
+            held->reset();
+        });
+        return;
+    }
+    over.status = 200;
+    over.answer = "started";
+    tap(over);
+    e->respond(json_response(200, {{"media", "http://" + address_.text() + "/media/" + token + "/"}}));
+}
+
+// ---- Commands to playing sessions ----
+
+void Node::command(const http::ExchangePtr& e, const std::vector<std::string>& parts) {
+    const auto session = number_of(parts[3]), attempt = number_of(parts[4]);
+    if (!session || !attempt) return e->respond(http::plain(400, "not a session and attempt"));
+    const Key key{parts[2], *session, static_cast<int>(*attempt)};
+    const std::string& method = e->request().method;
+    const auto it = sessions_.find(key);
+    Tap t;
+    t.director = parts[2], t.session = *session, t.attempt = static_cast<int>(*attempt);
+    if (method == "DELETE" && parts.size() == 5) {
+        t.what = "cancel";
+        tap(t);
+        if (const auto s = setting_.find(key); s != setting_.end()) {
+            setting_.erase(s);
+            fleet_.drop(number_);
+        }
+        end(key, "cancelled");
+        return e->respond({204, {}, ""});
+    }
+    if (it == sessions_.end()) return e->respond(http::plain(404, "no such session"));
+    Session& s = *it->second;
+    if (method == "PUT" && parts.size() == 6 && parts[5] == "rung") {
+        const json body = json::parse(e->request().body, nullptr, false);
+        if (!body.is_object() || !body.contains("rung") || !body.at("rung").is_number_integer())
+            return e->respond(http::plain(400, "no rung"));
+        const int rung = body.at("rung").get<int>();
+        if (rung < 0 || rung >= static_cast<int>(settings_.rung_kb.size()))
+            return e->respond(http::plain(400, "rung is not on the ladder"));
+        s.rung = rung;
+        fleet_.set_rung(number_, s.stream, rung, kb(s.cls, rung));
+        t.what = "rung", t.rung = rung, t.cls = s.cls, t.sid = s.sid;
+        tap(t);
+        return e->respond({204, {}, ""});
+    }
+    if (method == "POST" && parts.size() == 6 && parts[5] == "move") {
+        moved_.insert(s.token);
+        end(key, "cancelled");
+        return e->respond({204, {}, ""});
+    }
+    e->respond(http::plain(405, "not this"));
+}
+
+void Node::end(const Key& key, const char* how) {
+    if (hung_) {
+        stopped_.push_back([this, key, how] { end(key, how); });
+        return;
+    }
+    const auto it = sessions_.find(key);
+    if (it == sessions_.end()) return;
+    const std::unique_ptr<Session> s = std::move(it->second);
+    sessions_.erase(it);
+    tokens_.erase(s->token);
+    fleet_.end(number_, s->stream);
+    const auto& [director, session, attempt] = key;
+    Tap t;
+    t.what = "end", t.director = director, t.session = session, t.attempt = attempt;
+    t.sid = s->sid, t.cls = s->cls, t.title = s->title, t.answer = how;
+    tap(t);
+    tell(director, json{{"event", "end"}, {"session", session}, {"attempt", attempt}, {"how", how}}.dump());
+}
+
+// ---- Events ----
+
+void Node::events(const http::ExchangePtr& e) {
+    const auto director = http::query_argument(e->request().query(), "director");
+    if (!director || director->empty()) return e->respond(http::plain(400, "no director"));
+    http::Headers headers;
+    headers.add("Content-Type", "application/x-ndjson");
+    e->start(200, headers);
+    e->write(json{{"event", "hello"}, {"node", settings_.name}, {"boot", boot_}, {"protocol", 1}}.dump() +
+             "\n");
+    streams_[*director] = e;  // one a director: an older one is dropped and so closed
+}
+void Node::tell(const std::string& director, const std::string& line) {
+    const auto it = streams_.find(director);
+    if (it != streams_.end() && !it->second->gone()) it->second->write(line + "\n");
+}
+void Node::tick() {
+    tick_ = loop_.after(settings_.note_every, [this] { tick(); });
+    if (hung_) return;
+    for (auto it = streams_.begin(); it != streams_.end();)
+        it = it->second->gone() ? streams_.erase(it) : std::next(it);
+    const double share = fleet_.delivered(number_, loop_.now());
+    for (const auto& [director, stream] : streams_) {
+        tell(director, "{\"event\":\"tick\"}");
+        bool& was = was_short_[director];
+        if (share >= 0.98 && !was) continue;
+        was = share < 0.98;
+        // On one session of each director.
+        const auto first = sessions_.lower_bound({director, 0, 0});
+        if (first == sessions_.end() || std::get<0>(first->first) != director) continue;
+        const std::string line = json{
+            {"event", "delivered"},
+            {"session", std::get<1>(first->first)},
+            {"attempt", std::get<2>(first->first)},
+            {"value", share}}.dump();
+        loop_.post([this, line, director = director, life = boot_] {
+            // Late, as a smoothed measurement is.
+            auto timer = std::make_shared<io::Timer>();
+            *timer = loop_.after(settings_.note_late, [this, line, director, life, timer] {
+                if (life == boot_) tell(director, line);
+            });
+        });
+    }
+}
+void Node::refresh() {
+    refresh_ = loop_.after(settings_.report_every, [this] { refresh(); });
+    const io::Time now = loop_.now();
+    reports_.emplace_back(now, json{{"streams", fleet_.streams(number_)},
+                                    {"link", fleet_.link_use(number_, now)},
+                                    {"uplink", fleet_.uplink_use(fleet_.node(number_).rack, now)}}
+                                   .dump());
+    while (reports_.size() > 1 && reports_[1].first < now - 10000) reports_.erase(reports_.begin());
+}
+
+// ---- Media ----
+
+void Node::media(const http::ExchangePtr& e, const std::vector<std::string>& parts) {
+    const auto it = tokens_.find(parts[1]);
+    if (it == tokens_.end()) {
+        // Moved, or over: back to the director with the same sid.
+        http::Response r = http::plain(410, "this session is over here; ask the director again");
+        if (moved_.count(parts[1])) r.headers.add("X-Ivyfield-Moved", "1");
+        return e->respond(r);
+    }
+    const Key key = it->second;
+    Session& s = *sessions_.at(key);
+    s.idle = loop_.after(settings_.idle, [this, key] { end(key, "ended"); });
+    const auto rung = number_of(parts[2]);
+    if (!rung || *rung >= settings_.rung_kb.size()) return e->respond(http::plain(404, "no such rung"));
+    const io::Time now = loop_.now();
+    const double share = fleet_.delivered(number_, now);
+    hints::Keys keys;
+    keys.values["mb"] = static_cast<std::int64_t>(std::llround(kb(s.cls, s.rung) * 8));
+    keys.values["etp"] = static_cast<std::int64_t>(std::llround(kb(s.cls, s.rung) * 8 * share));
+    if (share < 0.98) keys.values["du"] = true;
+    http::Response r;
+    r.headers.add("Access-Control-Allow-Origin", "*");
+    if (parts[3] == "index.m3u8") {
+        const auto first = static_cast<std::uint64_t>(now / settings_.segment);
+        r.headers.add("Content-Type", "application/vnd.apple.mpegurl");
+        r.headers.add("CMSD-Dynamic", hints::encode_dynamic({{settings_.name, keys}}));
+        std::ostringstream list;
+        list << "#EXTM3U\n#EXT-X-VERSION:6\n#EXT-X-TARGETDURATION:" << std::ceil(settings_.segment / 1000)
+             << "\n#EXT-X-MEDIA-SEQUENCE:" << first << "\n";
+        for (std::uint64_t k = first; k < first + 3; ++k)
+            list << "#EXTINF:" << settings_.segment / 1000 << ",\n" << k << ".ts\n";
+        r.body = list.str();
+        return e->respond(r);
+    }
+    const std::size_t dot = parts[3].find('.');
+    if (!number_of(parts[3].substr(0, dot)) || parts[3].substr(std::min(dot, parts[3].size())) != ".ts")
+        return e->respond(http::plain(404, "no such segment"));
+    if (settings_.media.empty()) {
+        const double bytes = kb(s.cls, static_cast<int>(*rung)) * settings_.segment * settings_.byte_part;
+        r.body.assign(static_cast<std::size_t>(std::max(1.0, bytes)), 'x');
+    } else {
+        std::ifstream in(settings_.media + "/" + parts[2] + "/" + parts[3], std::ios::binary);
+        if (!in) return e->respond(http::plain(404, "no such file in the media folder"));
+        std::ostringstream all;
+        all << in.rdbuf();
+        r.body = all.str();
+    }
+    r.headers.add("Content-Type", "video/mp2t");
+    // What the link does not give in time comes later: a segment takes 1 over its share of its length, and
+    // the first byte waits for the excess.
+    const io::Time excess = std::min(20000.0, settings_.segment * (1 / std::max(share, 0.05) - 1));
+    keys.values["rd"] = static_cast<std::int64_t>(std::llround(excess));
+    r.headers.add("CMSD-Dynamic", hints::encode_dynamic({{settings_.name, keys}}));
+    if (excess < 1) return e->respond(r);
+    auto timer = std::make_shared<io::Timer>();
+    *timer = loop_.after(excess, [e, r, timer] { e->respond(r); });
+}
+
+}  // namespace ivyfield::standins
--- /dev/null
+++ b/src/standins/node.hpp
@@ -0,0 +1,106 @@
+// A media node as a stand-in: the node protocol (docs/node-protocol.md) and HLS media over HTTP, on the
+// physics of src/fleet. Its faults are set from outside, by a day's script.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "fleet/fleet.hpp"
+#include "http/server.hpp"
+#include "standins/tap.hpp"
+
+namespace ivyfield::standins {
+
+struct NodeClass {
+    std::string name;
+    double rate_part = 1;
+    bool live = false;
+};
+struct NodeSettings {
+    std::string name = "node";
+    io::Address listen;
+    std::vector<double> rung_kb;
+    std::vector<NodeClass> classes;
+    io::Time setup_least = 30, setup_most = 120;  // the work of a set-up
+    io::Time segment = 1000;                      // length of a media segment
+    io::Time idle = 4000;                         // a session that fetches nothing for so long has ended
+    io::Time note_every = 1000, note_late = 680;  // delivered-share notes
+    io::Time report_every = 500;                  // load reports are refreshed so often
+    double byte_part = 0.01;                      // made-up segments carry this part of their bytes
+    std::string media;                            // a folder with RUNG/NUMBER.ts to serve instead
+};
+
+class Node {
+  public:
+    Node(io::Loop& loop, fleet::Fleet& fleet, int number, NodeSettings settings, TapSink tap);
+    ~Node();
+    const std::string& name() const { return settings_.name; }
+    io::Address address() const { return address_; }
+    int number() const { return number_; }
+
+    // Faults.
+    void start(bool warm);  // a new life at the same address
+    void crash();           // connections break, all is lost
+    void hang(bool on);     // accepts, reads and answers nothing; work under way stops too
+    void lose_answers(double part) { lose_ = part; }  // the work is done, the answer never leaves
+    void fail_fast(double part) { fail_ = part; }     // an error at once, nothing is done
+    void freeze_after_paid(bool on) {
+        freeze_paid_ = on;
+    }  // hangs just after the next paid set-up is accepted
+    void reports_late(io::Time by) { late_ = by; }
+
+    std::size_t sessions() const { return sessions_.size(); }
+
+  private:
+    using Key = std::tuple<std::string, std::uint64_t, int>;  // director, session, attempt
+    struct Session {
+        std::string token, sid, cls, title;
+        std::uint64_t stream = 0;
+        int rung = 0;
+        bool moving = false;
+        io::Timer idle;
+    };
+    struct Setting {  // a set-up under way
+        http::ExchangePtr exchange;
+        io::Timer timer;
+    };
+
+    void serve(const http::ExchangePtr& e);
+    void set_up(const http::ExchangePtr& e);
+    void set_up_done(const Key& key, const Tap& from, int rung);
+    void command(const http::ExchangePtr& e, const std::vector<std::string>& parts);
+    void media(const http::ExchangePtr& e, const std::vector<std::string>& parts);
+    void events(const http::ExchangePtr& e);
+    void tell(const std::string& director, const std::string& line);
+    void end(const Key& key, const char* how);
+    void tick();
+    void refresh();
+    double kb(const std::string& cls, int rung) const;
+    void tap(Tap t);
+
+    io::Loop& loop_;
+    fleet::Fleet& fleet_;
+    int number_;
+    NodeSettings settings_;
+    TapSink tap_;
+    io::Address address_;
+    std::unique_ptr<http::Server> server_;
+    std::string boot_;
+    std::map<Key, std::unique_ptr<Setting>> setting_;
+    std::map<Key, std::unique_ptr<Session>> sessions_;
+    std::map<std::string, Key> tokens_;
+    std::set<std::string> moved_;  // tokens of moved sessions: their players are sent back
+    std::map<std::string, http::ExchangePtr> streams_;  // of events, by director
+    std::map<std::string, bool> was_short_;
+    std::vector<std::pair<io::Time, std::string>> reports_;  // made at, text
+    io::Timer tick_, refresh_;
+    double lose_ = 0, fail_ = 0;
+    io::Time late_ = 0;
+    bool freeze_paid_ = false, hung_ = false;
+    std::vector<std::function<void()>> stopped_;  // work that waits for the end of a hang
+    std::map<std::string, std::string> homes_;    // a session's director's address, for moved players
+};
+
+}  // namespace ivyfield::standins
--- /dev/null
+++ b/src/standins/player.cpp
@@ -0,0 +1,258 @@
+#include "standins/player.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace ivyfield::standins {
+
+Viewer::Viewer(io::Loop& loop, http::Client& client, ViewerSettings settings,
+               std::function<std::pair<std::string, io::Address>()> director, TapSink tap,
+               std::function<void(const ViewerResult&)> done)
+    : loop_(loop),
+      client_(client),
+      s_(std::move(settings)),
+      director_(std::move(director)),
+      tap_(std::move(tap)),
+      done_(std::move(done)),
+      began_(loop.now()),
+      ends_(loop.now() + s_.length) {
+    result_.tenant = s_.tenant;
+    result_.cls = s_.cls;
+    result_.offered = s_.worth * s_.rung_worth.at(static_cast<std::size_t>(s_.top)) * s_.length / 1000;
+    ask();
+}
+Viewer::~Viewer() = default;
+
+Tap Viewer::tap_of(const char* what) const {
+    Tap t;
+    t.what = what;
+    t.at = loop_.now();
+    t.where = s_.name;
+    t.director = asked_director_;
+    t.sid = s_.sid, t.cls = s_.cls, t.title = s_.title, t.tenant = s_.tenant, t.paid = s_.paid;
+    t.attempt = result_.tries;
+    return t;
+}
+
+http::Request Viewer::request() const {
+    hints::Keys keys;
+    keys.values["sid"] = s_.sid;
+    keys.values["sf"] = hints::Token{"h"};
+    keys.values["ot"] = hints::Token{"m"};
+    keys.values["su"] = true;
+    keys.values["tb"] =
+        static_cast<std::int64_t>(std::llround(s_.rung_kb.at(static_cast<std::size_t>(s_.top)) * 8));
+    http::Request r;
+    r.target = "/v1/watch/" + http::percent_encode(s_.tenant) + "/" + http::percent_encode(s_.cls) + "/" +
+               http::percent_encode(s_.title) + "/master.m3u8";
+    const auto query = [&r](const std::string& payload) {
+        r.target += "?CMCD=" + http::percent_encode(payload);
+    };
+    switch (s_.hints) {
+        case HintStyle::query:
+            query(hints::encode_keys(hints::Vocabulary::cmcd, keys));
+            break;
+        case HintStyle::headers: {
+            const auto headers = hints::encode_cmcd_headers(keys);
+            for (const auto c : {hints::Carrier::request, hints::Carrier::object, hints::Carrier::status,
+                                 hints::Carrier::session})
+                if (const std::string& value = headers[static_cast<std::size_t>(c)]; !value.empty())
+                    r.headers.add(hints::header_name(c), value);
+            break;
+        }
+        case HintStyle::missing:
+            break;
+        case HintStyle::malformed:
+            query("br=abc,,sid=\"" + s_.sid + "\",tb=x,ot=zz,su=?7,nor=\"%%\"");
+            break;
+        case HintStyle::contradictory:
+            query("sid=\"" + s_.sid + "\",tb=1");
+            r.headers.add("CMCD-Session", "sid=\"someone-else\"");
+            r.headers.add("CMCD-Object", "tb=999999");
+            break;
+        case HintStyle::over_long:
+            r.headers.add("CMCD-Session", "sid=\"" + std::string(9000, 'a') + "\"");
+            break;
+    }
+    return r;
+}
+
+void Viewer::ask() {
+    result_.tries += 1;
+    io::Address address;
+    std::tie(asked_director_, address) = director_();
+    asked_at_ = loop_.now();
+    Tap t = tap_of("ask");
+    // Only these carry a sid that the director can know the viewer by.
+    t.text = s_.hints == HintStyle::missing || s_.hints == HintStyle::contradictory ||
+                     s_.hints == HintStyle::over_long
+                 ? "unknown"
+                 : "";
+    tap_(t);
+    http::CallOptions options;
+    options.connect_timeout = 1000;
+    options.timeout = 0;
+    options.fresh = true;
+    const auto number = static_cast<std::uint64_t>(result_.tries);
+    call_ = client_.send(address, request(), options,
+                         [this, number](const http::CallResult& r) { answered(number, r); });
+    if (s_.asks_twice && result_.tries == 1) {
+        Tap twice = tap_of("ask_again");
+        tap_(twice);
+        second_ = client_.send(address, request(), options, [this](const http::CallResult& r) {
+            Tap t = tap_of("answer_again");
+            t.status = r.end == http::CallEnd::response ? r.response.status : 0;
+            tap_(t);
+            const std::shared_ptr<http::Call> keep(std::move(second_));
+            loop_.post([keep] {});
+        });
+    }
+    patience_ = loop_.after(s_.patience + 100, [this] { gave_up(); });
+    if (s_.leaves_after >= 0 && result_.tries == 1)
+        leave_ = loop_.after(s_.leaves_after, [this] {
+            if (!call_) return;
+            call_.reset();
+            second_.reset();
+            tap_(tap_of("left"));
+            result_.abandoned += 1;
+            finish();
+        });
+}
+
+// The answer did not come: a broken rule, unless the director itself was down.
+void Viewer::gave_up() {
+    tap_(tap_of("gave_up"));
+    call_.reset();
+    result_.abandoned += 1;
+    again(0);
+}
+
+void Viewer::answered(std::uint64_t, const http::CallResult& r) {
+    const std::shared_ptr<http::Call> keep(std::move(call_));
+    loop_.post([keep] {});
+    patience_.stop();
+    leave_.stop();
+    Tap t = tap_of("answer");
+    t.status = r.end == http::CallEnd::response ? r.response.status : 0;
+    t.answer = r.end != http::CallEnd::response ? http::name(r.end)
+               : t.status == 200                ? "plays"
+               : t.status == 503                ? "refused"
+               : t.status == 504                ? "failed"
+                                                : "other";
+    tap_(t);
+    if (t.answer == "plays") {
+        // The first variant, as RFC 8216 lets a player begin with.
+        const std::string& body = r.response.body;
+        const std::size_t at = body.find("\nhttp://");
+        if (at == std::string::npos) return finish();
+        const std::string uri = body.substr(at + 1, body.find('\n', at + 1) - at - 1);
+        return play(uri);
+    }
+    io::Time least = 0;
+    if (t.answer == "refused") {
+        result_.refused += 1;
+        least = std::atof(std::string(r.response.headers.get("Retry-After").value_or("0")).c_str()) * 1000;
+    } else if (t.answer == "failed") {
+        result_.failed += 1;
+        if (s_.paid) return finish();  // it may have run: this viewer stays away
+    } else {
+        result_.broke += 1;
+    }
+    again(least);
+}
+
+void Viewer::again(io::Time least) {
+    auto& random = loop_.random();
+    const io::Time wait = std::uniform_real_distribution<double>(s_.again_least, s_.again_most)(random);
+    const bool comes = std::bernoulli_distribution(s_.comes_again)(random);
+    if (!comes || result_.tries >= s_.most_tries || loop_.now() + wait >= ends_) return finish();
+    pause_ = loop_.after(std::max(wait, std::min(least, 3000.0)), [this] { ask(); });
+}
+
+void Viewer::play(const std::string& uri) {
+    // http://ADDRESS/media/TOKEN/RUNG/index.m3u8
+    const std::size_t slash = uri.find('/', 7);
+    const std::size_t rung_end = uri.rfind('/');
+    const std::size_t rung_at = uri.rfind('/', rung_end - 1);
+    node_ = io::Address::parse(uri.substr(7, slash - 7));
+    base_path_ = uri.substr(slash, rung_at + 1 - slash);
+    rung_ = std::atoi(uri.substr(rung_at + 1, rung_end - rung_at - 1).c_str());
+    const io::Time waited = loop_.now() - began_;
+    if (!result_.started) {
+        result_.waited = waited;
+        // Waiting counts from each try on its own; a viewer who had to come again is late.
+        result_.in_time = waited <= s_.aim;
+    }
+    result_.started = true;
+    misses_ = 0;
+    fetch();
+}
+
+void Viewer::fetch() {
+    if (loop_.now() >= ends_) return finish();
+    segment_began_ = loop_.now();
+    http::Request r;
+    hints::Keys keys;
+    keys.values["sid"] = s_.sid;
+    keys.values["ot"] = hints::Token{"v"};
+    keys.values["br"] =
+        static_cast<std::int64_t>(std::llround(s_.rung_kb.at(static_cast<std::size_t>(rung_)) * 8));
+    r.target = base_path_ + std::to_string(rung_) + "/" + std::to_string(segment_++) +
+               ".ts?CMCD=" + http::percent_encode(hints::encode_keys(hints::Vocabulary::cmcd, keys));
+    http::CallOptions options;
+    options.connect_timeout = 1000;
+    options.timeout = 8000;
+    media_ =
+        client_.send(node_, std::move(r), options, [this](const http::CallResult& c) { segment_came(c); });
+}
+
+void Viewer::segment_came(const http::CallResult& r) {
+    const std::shared_ptr<http::Call> keep(std::move(media_));
+    loop_.post([keep] {});
+    if (r.end != http::CallEnd::response || r.response.status != 200) {
+        // Moved, over, or the node is lost: back to a director with the same sid.
+        const bool moved =
+            r.end == http::CallEnd::response && r.response.headers.get("X-Ivyfield-Moved") == "1";
+        if (moved) result_.moves += 1;
+        else result_.broke += 1;
+        if (r.end == http::CallEnd::timed_out && ++misses_ < 3) return fetch();
+        if (moved) {
+            pause_ = loop_.after(300, [this] { ask(); });
+            return;
+        }
+        return again(0);
+    }
+    misses_ = 0;
+    const io::Time took = std::max(r.waited, 1.0);
+    const double share = std::min(1.0, s_.segment / std::max(s_.segment, took));
+    const double lost = share < 0.98 ? (0.98 - share) * s_.short_points : 0;
+    const double played = std::min(s_.segment, ends_ - segment_began_) / 1000;
+    result_.earned +=
+        s_.worth * s_.rung_worth.at(static_cast<std::size_t>(rung_)) * played * std::max(0.0, 1 - lost);
+    // The node's word on the rate; a change is the director's.
+    const auto dynamic = hints::decode_dynamic(r.response.headers.all("CMSD-Dynamic"));
+    for (const auto& entry : dynamic.entries)
+        if (const auto mb = entry.keys.integer("mb")) {
+            int best = 0;
+            for (std::size_t k = 0; k < s_.rung_kb.size(); ++k)
+                if (std::llround(s_.rung_kb[k] * 8) <= *mb) best = static_cast<int>(k);
+            best = std::min(best, s_.top);
+            if (best != rung_) result_.rungs_seen += 1;
+            rung_ = best;
+        }
+    if (share < 0.75 && std::bernoulli_distribution(0.1)(loop_.random())) return finish();
+    pause_ = loop_.after(std::max(0.0, s_.segment - took), [this] { fetch(); });
+}
+
+void Viewer::finish() {
+    if (over_) return;
+    over_ = true;
+    // Told from the loop: the owner destroys this.
+    pause_ = loop_.after(0, [this] {
+        const auto done = done_;
+        done(result_);
+    });
+}
+
+}  // namespace ivyfield::standins
--- /dev/null
+++ b/src/standins/player.hpp
@@ -0,0 +1,79 @@
+// A viewer's player as a stand-in: asks a director with CMCD, follows the playlist's first variant at its
+// node, heeds CMSD's mb, goes back to a director when it is moved or its node is lost, gives up, comes again.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "hints/keys.hpp"
+#include "http/client.hpp"
+#include "standins/tap.hpp"
+
+namespace ivyfield::standins {
+
+enum class HintStyle { query, headers, missing, malformed, contradictory, over_long };
+
+struct ViewerSettings {
+    std::string name, sid, tenant, cls, title;
+    bool paid = false;
+    io::Time patience = 5000, aim = 1500, length = 30000;
+    std::vector<double> rung_kb, rung_worth;  // the class's ladder
+    double worth = 1;                         // of a second at worth 1
+    int top = 0;
+    HintStyle hints = HintStyle::query;
+    bool asks_twice = false;     // the same request again while the first is out
+    io::Time leaves_after = -1;  // closes its connection unanswered so soon; below 0: never
+    double comes_again = 0.85;   // after a break, a refusal, a failure of a harmless class
+    io::Time again_least = 1600, again_most = 2900;
+    int most_tries = 4;
+    io::Time segment = 1000;
+    double short_points = 6;  // worth lost for each point of rate missing under 98 in 100
+};
+
+struct ViewerResult {
+    std::string tenant, cls;
+    bool started = false,
+         in_time = false;  // in_time: playing within the aim, by the first try or a later one
+    int tries = 0, refused = 0, failed = 0, abandoned = 0, broke = 0, rungs_seen = 0, moves = 0;
+    io::Time waited = -1;  // to the first playlist, from the first ask
+    double offered = 0, earned = 0;
+};
+
+class Viewer {
+  public:
+    // `director` gives the address to ask this time.
+    Viewer(io::Loop& loop, http::Client& client, ViewerSettings settings,
+           std::function<std::pair<std::string, io::Address>()> director, TapSink tap,
+           std::function<void(const ViewerResult&)> done);
+    ~Viewer();
+
+  private:
+    void ask();
+    http::Request request() const;
+    void answered(std::uint64_t asked, const http::CallResult& result);
+    void gave_up();
+    void again(io::Time least);
+    void play(const std::string& base);
+    void fetch();
+    void segment_came(const http::CallResult& result);
+    void finish();
+    Tap tap_of(const char* what) const;
+
+    io::Loop& loop_;
+    http::Client& client_;
+    ViewerSettings s_;
+    std::function<std::pair<std::string, io::Address>()> director_;
+    TapSink tap_;
+    std::function<void(const ViewerResult&)> done_;
+    ViewerResult result_;
+    std::string asked_director_, base_path_;
+    io::Address node_;
+    std::unique_ptr<http::Call> call_, second_, media_;
+    io::Timer patience_, leave_, pause_;
+    io::Time began_ = 0, asked_at_ = 0, ends_ = 0, segment_began_ = 0;
+    std::uint64_t segment_ = 0;
+    int rung_ = 0, best_rung_ = 0, misses_ = 0;
+    bool playing_ = false, over_ = false;
+};
+
+}  // namespace ivyfield::standins
--- /dev/null
+++ b/src/standins/tap.hpp
@@ -0,0 +1,28 @@
+// What crossed a socket of a stand-in, as it was seen there: the audit's only source.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "io/loop.hpp"
+
+namespace ivyfield::standins {
+
+struct Tap {
+    // At nodes: "node_start", "node_down", "node_fell", "hang", "thaw", "setup" (a request came),
+    // "setup_over" (answered, or its connection closed), "ran" (the work of the set-up was done), "rung",
+    // "cancel", "end" (of a playing session). At the list: "list_sent". At players: "ask", "answer",
+    // "gave_up", "left", and "ask_again" and "answer_again" of a request that was sent twice.
+    std::string what;
+    io::Time at = 0;
+    std::string where;     // the node's, list's or player's name
+    std::string director;  // whom it concerns
+    std::string sid, cls, title, tenant, answer;
+    std::uint64_t session = 0;
+    int attempt = 0, rung = 0, status = 0;
+    bool paid = false;
+    std::string text;  // list_sent: the states told, like "n1=ready n2=draining"
+};
+using TapSink = std::function<void(const Tap&)>;
+
+}  // namespace ivyfield::standins
--- /dev/null
+++ b/tests/audit/audit_test.cpp
@@ -0,0 +1,185 @@
+// The audit must be able to fail: for each rule, traffic of a director that breaks it, and the same traffic
+// kept.
+#include "audit/audit.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace ivyfield::audit;
+using ivyfield::standins::Tap;
+
+namespace {
+
+struct Traffic {
+    std::vector<Tap> taps;
+    Terms terms;
+    std::vector<Outage> outages;
+    Traffic() {
+        terms.classes["paid"] = {true, 0, 0, 5000};
+        terms.classes["free"] = {false, 1, 2, 5000};
+        terms.budget = true, terms.budget_free = 1, terms.budget_per_request = 0.5,
+        terms.budget_window = 10000;
+    }
+    Tap& add(double at, const std::string& what, const std::string& where, const std::string& cls = "paid") {
+        Tap t;
+        t.at = at, t.what = what, t.where = where, t.cls = cls, t.director = "d0", t.sid = "s", t.title = "t";
+        t.session = 1, t.rung = 2;
+        taps.push_back(t);
+        return taps.back();
+    }
+    void answer(double at, const std::string& who, int status, const std::string& cls = "paid") {
+        Tap& t = add(at, "answer", who, cls);
+        t.status = status;
+        t.answer = status == 200 ? "plays" : status == 503 ? "refused" : "failed";
+    }
+    void over(double at, const std::string& node, int attempt, int status, const char* how,
+              const std::string& cls = "paid") {
+        Tap& t = add(at, "setup_over", node, cls);
+        t.attempt = attempt, t.status = status, t.answer = how;
+    }
+    std::vector<int> broken() {
+        std::vector<int> out;
+        const Verdict v = judge(taps, terms, outages);
+        for (int rule = 1; rule <= 6; ++rule)
+            if (!v.kept(rule)) out.push_back(rule);
+        return out;
+    }
+};
+using Rules = std::vector<int>;
+
+TEST(Audit, AnOrdinarySessionBreaksNothing) {
+    Traffic t;
+    t.add(0, "ask", "v");
+    t.add(10, "setup", "n0");
+    t.add(100, "ran", "n0");
+    t.over(100, "n0", 0, 200, "started");
+    t.answer(110, "v", 200);
+    t.add(9000, "end", "n0");
+    EXPECT_EQ(t.broken(), Rules{});
+}
+TEST(Audit, Rule1AnswerThatNeverComesIsLateOrDouble) {
+    Traffic never, gave_up, late, twice, odd;
+    never.add(0, "ask", "v");
+    EXPECT_EQ(never.broken(), Rules{1});
+    never.outages.push_back({"d0", 100, 200});
+    EXPECT_EQ(never.broken(), Rules{}) << "the director was down";
+    gave_up.add(0, "ask", "v");
+    gave_up.add(5100, "gave_up", "v");
+    EXPECT_EQ(gave_up.broken(), Rules{1});
+    late.add(0, "ask", "v");
+    late.answer(5300, "v", 504);
+    EXPECT_EQ(late.broken(), Rules{1});
+    twice.add(0, "ask", "v");
+    twice.answer(10, "v", 503);
+    twice.answer(20, "v", 503);
+    EXPECT_EQ(twice.broken(), Rules{1});
+    odd.add(0, "ask", "v");
+    odd.answer(10, "v", 500);
+    EXPECT_EQ(odd.broken(), Rules{1});
+}
+TEST(Audit, Rule2PaidSentAgainThoughItMayHaveRun) {
+    Traffic t;
+    t.add(0, "ask", "v");
+    t.add(10, "setup", "n0");
+    t.over(500, "n0", 0, 500, "error");
+    t.add(510, "setup", "n1").attempt = 1;
+    t.over(600, "n1", 1, 200, "started");
+    t.answer(610, "v", 200);
+    EXPECT_EQ(t.broken(), Rules{2});
+    t.taps[2].answer = "full";
+    EXPECT_EQ(t.broken(), Rules{}) << "full proves that it never ran";
+}
+TEST(Audit, Rule2PaidRefusedThoughItMayHaveRun) {
+    Traffic t;
+    t.add(0, "ask", "v");
+    t.add(10, "setup", "n0");
+    t.over(500, "n0", 0, 0, "gone");
+    t.answer(510, "v", 503);
+    EXPECT_EQ(t.broken(), Rules{2});
+    t.taps[3].status = 504;
+    EXPECT_EQ(t.broken(), Rules{});
+}
+TEST(Audit, Rule2RanTwice) {
+    Traffic t;
+    t.add(0, "ask", "v");
+    t.add(10, "setup", "n0");
+    t.over(20, "n0", 0, 503, "full");
+    t.add(30, "ran", "n0");  // it said full and ran all the same
+    t.add(40, "setup", "n1").attempt = 1;
+    t.add(50, "ran", "n1").attempt = 1;
+    t.over(50, "n1", 1, 200, "started");
+    t.answer(60, "v", 200);
+    EXPECT_EQ(t.broken(), Rules{2});
+}
+TEST(Audit, Rule2TwoAttemptsOutAtOnce) {
+    Traffic t;
+    t.add(0, "ask", "v", "free");
+    t.add(10, "setup", "n0", "free");
+    t.add(300, "setup", "n1", "free").attempt = 1;
+    t.over(2000, "n0", 0, 0, "gone", "free");
+    t.over(2100, "n1", 1, 200, "started", "free");
+    t.answer(2110, "v", 200, "free");
+    EXPECT_EQ(t.broken(), Rules{2});
+    t.taps[3].at = 310;  // its word to the first node was on the way
+    EXPECT_EQ(t.broken(), Rules{});
+}
+TEST(Audit, Rule3SentToADrainedOrVanishedNode) {
+    for (const char* list : {"n0=draining n1=ready", "n0=gone n1=ready", "n1=ready"}) {
+        Traffic t;
+        t.add(0, "list_sent", "list").text = "n0=ready n1=ready";
+        t.add(100, "list_sent", "list").text = list;
+        t.add(500, "setup", "n0");
+        EXPECT_EQ(t.broken(), Rules{}) << "within the grace";
+        t.add(700, "setup", "n0").session = 2;
+        EXPECT_EQ(t.broken(), Rules{3}) << list;
+    }
+    Traffic back;
+    back.add(0, "list_sent", "list").text = "n0=draining";
+    back.add(100, "list_sent", "list").text = "n0=ready";
+    back.add(900, "setup", "n0");
+    EXPECT_EQ(back.broken(), Rules{});
+}
+TEST(Audit, Rule4ANodePushedOver) {
+    Traffic t;
+    t.add(0, "node_start", "n0").answer = "cold";
+    EXPECT_EQ(t.broken(), Rules{});
+    t.add(10, "node_fell", "n0");
+    EXPECT_EQ(t.broken(), Rules{4});
+}
+TEST(Audit, Rule5FloorsAndSeats) {
+    Traffic floor, seats;
+    floor.add(0, "setup", "n0", "free").rung = 0;
+    EXPECT_EQ(floor.broken(), Rules{5});
+    floor.taps[0].rung = 1;
+    EXPECT_EQ(floor.broken(), Rules{});
+    floor.add(10, "rung", "n0", "free").rung = 0;
+    EXPECT_EQ(floor.broken(), Rules{5});
+    for (int k = 1; k <= 2; ++k) seats.add(k, "setup", "n0", "free").session = static_cast<std::uint64_t>(k);
+    EXPECT_EQ(seats.broken(), Rules{});
+    seats.add(10, "end", "n0", "free").session = 1;
+    seats.add(11, "setup", "n0", "free").session = 3;
+    EXPECT_EQ(seats.broken(), Rules{}) << "a seat was free again";
+    seats.add(12, "setup", "n1", "free").session = 4;
+    EXPECT_EQ(seats.broken(), Rules{5});
+}
+TEST(Audit, Rule6FurtherAttemptsBeyondTheBudget) {
+    Traffic t;
+    for (int k = 0; k < 4; ++k) {
+        t.add(k, "ask", "v" + std::to_string(k), "free");
+        t.answer(k + 0.5, "v" + std::to_string(k), 504, "free");
+    }
+    const auto again = [&t](double at, std::uint64_t session) {
+        Tap& s = t.add(at, "setup", "n0", "free");
+        s.session = session, s.attempt = 1, s.title = "t" + std::to_string(session);
+        t.over(at + 1, "n0", 1, 500, "error", "free");
+        t.taps.back().session = session;
+    };
+    for (std::uint64_t k = 0; k < 3; ++k) again(100.0 * static_cast<double>(k + 1), k + 10);
+    EXPECT_EQ(t.broken(), Rules{}) << "one free and half of four";
+    again(500, 20);
+    EXPECT_EQ(t.broken(), Rules{6});
+    t.taps.resize(t.taps.size() - 2);
+    again(10200, 20);
+    EXPECT_EQ(t.broken(), Rules{6}) << "the requests are past as well";
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/day/day_test.cpp
@@ -0,0 +1,63 @@
+// Whole days through the real director on simulated time: HTTP, hints, nodes, list, faults, rules.
+#include <gtest/gtest.h>
+
+#include "cli/day_command.hpp"
+
+using namespace ivyfield;
+
+namespace {
+
+nlohmann::json file(const std::string& name) {
+    return nlohmann::json::parse(config::read_file(IVYFIELD_SOURCE_DIR "/examples/days/" + name + ".json"));
+}
+day::DayFile loaded(const nlohmann::json& doc) {
+    const auto d = day::load_day(doc.dump());
+    for (const auto& f : d.faults) ADD_FAILURE() << f.path << ": " << f.why;
+    return d.day;
+}
+void expect_good(const day::Report& r) { EXPECT_TRUE(r.good()) << r.table(); }
+
+TEST(Day, AQuietDayPlaysNearlyAllInTime) {
+    const auto r = cli::play_virtual_day(loaded(file("quiet")), 1, {});
+    expect_good(r);
+    EXPECT_GT(r.all.viewers, 20);
+    EXPECT_GE(r.all.started, r.all.viewers * 9 / 10) << r.table();
+    EXPECT_GE(r.all.in_time, r.all.started * 9 / 10) << r.table();
+    EXPECT_EQ(r.all.abandoned, 0);
+}
+TEST(Day, TheBadDayKeepsAllRulesUnderSeveralSeeds) {
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        const auto r = cli::play_virtual_day(loaded(file("bad-day")), seed, {});
+        expect_good(r);
+        for (int rule : {1, 2, 3, 4, 5}) EXPECT_GT(r.verdict.checked.count(rule), 0u) << rule;
+        EXPECT_GT(r.all.viewers, 100);
+        EXPECT_GT(r.all.started, r.all.viewers / 3) << r.table();
+        EXPECT_GT(r.duplicates_asked, 2);
+        EXPECT_GT(r.further, 0);
+    }
+}
+TEST(Day, TheSameSeedIsTheSameDay) {
+    const auto day = loaded(file("bad-day"));
+    const std::string once = cli::play_virtual_day(day, 3, {}).json().dump();
+    EXPECT_EQ(once, cli::play_virtual_day(day, 3, {}).json().dump());
+    EXPECT_NE(once, cli::play_virtual_day(day, 4, {}).json().dump());
+}
+TEST(Day, FaultsThatWouldHurtNothingAreFaultsOfTheFile) {
+    auto doc = file("quiet");
+    doc["faults"] = {{{"kind", "hang"}, {"at_ms", 1}},
+                     {{"kind", "slow_link"}, {"at_ms", 1}, {"nodes", {0}}, {"value", 1}},
+                     {{"kind", "crash"}, {"at_ms", 1}, {"nodes", {99}}},
+                     {{"kind", "director_crash"}, {"at_ms", 1}}};
+    doc["arrivals"][0]["class"] = "nothing";
+    doc["director"]["classes"][0]["floor"] = 9;
+    std::vector<std::string> paths;
+    for (const auto& f : day::load_day(doc.dump()).faults) paths.push_back(f.path);
+    EXPECT_EQ(paths, std::vector<std::string>{"/director/classes/0/floor"});
+    doc["director"]["classes"][0].erase("floor");
+    paths.clear();
+    for (const auto& f : day::load_day(doc.dump()).faults) paths.push_back(f.path);
+    EXPECT_EQ(paths, (std::vector<std::string>{"/arrivals/0/class", "/faults/0/nodes", "/faults/1/value",
+                                               "/faults/2/nodes", "/faults/3/directors"}));
+}
+
+}  // namespace
