--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# From a fresh machine: installs the Debian packages that are missing, builds, plays the bad day on loopback with
+# three director processes and prints the verdict on the six rules. Takes a minute of wall time after the build.
+set -eu
+cd "$(dirname "$0")/.."
+sh scripts/install-packages.sh
+cmake -S . -B build-release -DIVYFIELD_PROGRAM=ON -DCMAKE_BUILD_TYPE=Release > /dev/null
+cmake --build build-release -j"$(nproc)" --target ivyfield_program > /dev/null
+echo "playing examples/days/bad-day.json on loopback..."
+exec build-release/ivyfield day examples/days/bad-day.json "$@"
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -8,6 +8,7 @@
 #include "cli/day_command.hpp"
 #include "cli/director.hpp"
 #include "cli/hints_command.hpp"
+#include "io/ev/child.hpp"
 #include "io/ev/ev_loop.hpp"
 
 namespace {
@@ -27,6 +28,7 @@
     const config::Loaded loaded = config::load_file(path);
     if (!loaded.faults.empty()) return check(path);
     ::signal(SIGPIPE, SIG_IGN);
+    io::raise_file_limit();
     const std::uint64_t seed = loaded.config.seed.value_or(io::system_seed());
     io::EvLoop loop(seed);
     cli::DirectorProcess director(loop, loaded.config, seed);
--- a/src/discovery/consul.cpp
+++ b/src/discovery/consul.cpp
@@ -65,7 +65,9 @@
         throw std::invalid_argument(out.id + ": kind \"" + kind + "\" is not configured");
     else e.kind = static_cast<int>(found - kinds.begin());
     if (const double started = meta_number("started_ms", 0); started > 0)
-        e.last_start = now - std::max(0.0, wall_ms - started);
+        // 0 means long ago, so a start before this clock began is set to its first moment: cold rather than
+        // warm.
+        e.last_start = std::max(1.0, now - std::max(0.0, wall_ms - started));
     e.state = text_of(meta, "state") == "draining" ? ServerState::draining : ServerState::ready;
     for (const json& check : one.contains("Checks") ? one.at("Checks") : json::array()) {
         if (text_of(check, "Status") != "critical") continue;
--- a/src/io/ev/child.cpp
+++ b/src/io/ev/child.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -10,6 +11,7 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 
 extern char** environ;
@@ -53,6 +55,30 @@
     if (running()) ::kill(pid_, on ? SIGSTOP : SIGCONT);
 }
 
+double Child::cpu_ms() const {
+    std::ifstream in("/proc/" + std::to_string(pid_) + "/stat");
+    std::string line;
+    std::getline(in, line);
+    std::istringstream rest(line.substr(std::min(line.size(), line.rfind(')') + 2)));
+    std::string skipped;
+    for (int k = 0; k < 11; ++k) rest >> skipped;  // fields 3 to 13 of proc(5)
+    double user = 0, system = 0;
+    rest >> user >> system;
+    return (user + system) * 1000 / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+double Child::memory_kb() const {
+    std::ifstream in("/proc/" + std::to_string(pid_) + "/statm");
+    double all = 0, resident = 0;
+    in >> all >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024;
+}
+
+void raise_file_limit() {
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
 std::string own_program() { return std::filesystem::read_symlink("/proc/self/exe").string(); }
 std::string temporary_folder() {
     std::string path = (std::filesystem::temp_directory_path() / "ivyfield-XXXXXX").string();
--- a/src/io/ev/child.hpp
+++ b/src/io/ev/child.hpp
@@ -17,11 +17,14 @@
     int exit_code() const { return code_; }  // of one that ended; a signal counts as 128 and its number
     void kill();
     void stall(bool on);
+    double cpu_ms() const;     // user and system, so far
+    double memory_kb() const;  // resident
 
   private:
     int pid_ = -1, code_ = 0;
 };
 
+void raise_file_limit();    // open files: as many as this process may have
 std::string own_program();  // the path of this program
 // A fresh folder for this run, removed by the caller. Throws std::runtime_error.
 std::string temporary_folder();
--- a/src/io/ev/ev_loop.cpp
+++ b/src/io/ev/ev_loop.cpp
@@ -107,6 +107,11 @@
         now = clock_ms(CLOCK_MONOTONIC);
     }
     ~Impl() {
+        // Tasks that never ran may hold streams, which need the loop to be closed; those may add tasks.
+        while (!timers.empty()) {
+            TimerQueue old;
+            std::swap(old, timers);
+        }
         for (auto& one : signals) ev_signal_stop(ev, &one.watcher);
         ev_ref(ev), ev_prepare_stop(ev, &prepare);
         ev_ref(ev), ev_check_stop(ev, &check);
--- a/src/io/virtual/world.cpp
+++ b/src/io/virtual/world.cpp
@@ -256,8 +256,10 @@
     // The id is known only after the call; the task reads it through the shared cell.
     auto cell = std::make_shared<std::uint64_t>(0);
     *cell = world_.tasks_.add(std::max(when, world_.now_), [this, cell, task = std::move(task)] {
-        live_.erase(*cell);
-        World::in(*this, task);
+        // Still to be called off while it waits for a process that stands still.
+        World::in(*this, [this, cell, task] {
+            if (live_.erase(*cell)) task();
+        });
     });
     live_.insert(*cell);
     return *cell;
--- /dev/null
+++ b/tests/fronts/front_test.cpp
@@ -0,0 +1,320 @@
+// A player's path through the director's own parts (front, engine, node link, list) to a scripted node, on
+// simulated time: hints good and bad, the same sid twice, closed and half-closed connections, moves, rungs,
+// losses.
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "cli/director.hpp"
+#include "http/client.hpp"
+#include "io/virtual/world.hpp"
+#include "standins/list.hpp"
+#include "standins/node.hpp"
+
+using namespace ivyfield;
+using nlohmann::json;
+
+namespace {
+
+const io::Address kDirector{"127.0.0.1", 8080};
+
+struct PathTest : testing::Test {
+    io::World world{9};
+    io::VirtualLoop& rig = world.start("rig");
+    io::VirtualLoop& there = world.start("director");
+    std::vector<standins::Tap> taps;
+    fleet::Fleet fleet{[] {
+        fleet::FleetSpec s;
+        s.rack_kb = {1e6};
+        return s;
+    }()};
+    std::vector<std::unique_ptr<standins::Node>> nodes;
+    std::unique_ptr<standins::List> list;
+    std::unique_ptr<cli::DirectorProcess> director;
+    http::Client client{rig, {}};
+
+    void SetUp() override {
+        list = std::make_unique<standins::List>(rig, io::Address{"127.0.0.1", 8500}, "media",
+                                                standins::TapSink{});
+        for (int k = 0; k < 2; ++k) add_node(k);
+        config::Loaded loaded = config::load(config_text());
+        for (const auto& f : loaded.faults) ADD_FAILURE() << f.path << f.why;
+        director = std::make_unique<cli::DirectorProcess>(there, loaded.config, 3);
+        run(500);
+    }
+    void TearDown() override {
+        world.kill(there);
+        director.reset();
+    }
+    void add_node(int k) {
+        standins::NodeSettings s;
+        s.name = "n" + std::to_string(k);
+        s.rung_kb = {100, 200, 400};
+        s.classes = {{"check", 1, true}, {"prep", 1, false}};
+        s.listen = {"127.0.0.1", static_cast<std::uint16_t>(9000 + k)};
+        nodes.push_back(std::make_unique<standins::Node>(
+            rig, fleet, fleet.add({0, 4000, 20}), s, [this](const standins::Tap& t) { taps.push_back(t); }));
+        nodes.back()->start(true);
+        standins::Listed one;
+        one.id = s.name, one.kind = "k", one.address = s.listen, one.position = k;
+        list->set(one);
+    }
+    static std::string config_text() {
+        return json{{"name", "d"},
+                    {"listen", kDirector.text()},
+                    {"log", {{"path", ""}}},
+                    {"list", {{"consul", "127.0.0.1:8500"}, {"service", "media"}}},
+                    {"fleet",
+                     {{"directors", 1},
+                      {"kinds", {{{"name", "k"}, {"streams", 20}}}},
+                      {"rung_kb", {100, 200, 400}},
+                      {"rung_worth", {0.3, 0.7, 1}},
+                      {"link_kb", 4000},
+                      {"racks", 1},
+                      {"rack_kb", 1000000}}},
+                    {"rules", {{"max_attempts", 4}, {"retry_after_ms", 2000}}},
+                    {"classes",
+                     {{{"name", "check"},
+                       {"worth", 3},
+                       {"aim_ms", 1500},
+                       {"patience_ms", 5000},
+                       {"repeat", "paid"},
+                       {"live", true}},
+                      {{"name", "prep"},
+                       {"worth", 1},
+                       {"aim_ms", 800},
+                       {"patience_ms", 5000},
+                       {"repeat", "harmless"}}}},
+                    {"tenants", {{{"name", "t"}}}}}
+            .dump();
+    }
+    void run(double ms) { world.run_until(world.now() + ms); }
+    struct Asked {
+        std::unique_ptr<http::Call> call;
+        http::CallResult result;
+        int answers = 0;
+    };
+    std::unique_ptr<Asked> ask(const std::string& cls, const std::string& cmcd, http::Headers headers = {}) {
+        auto out = std::make_unique<Asked>();
+        http::Request r;
+        r.target = "/v1/watch/t/" + cls + "/title/master.m3u8" +
+                   (cmcd.empty() ? "" : "?CMCD=" + http::percent_encode(cmcd));
+        r.headers = std::move(headers);
+        http::CallOptions options;
+        options.timeout = 0, options.fresh = true;
+        out->call = client.send(kDirector, r, options, [at = out.get()](http::CallResult c) {
+            at->result = std::move(c);
+            at->answers += 1;
+        });
+        return out;
+    }
+    int count(const std::string& what) {
+        return static_cast<int>(
+            std::count_if(taps.begin(), taps.end(), [&](const auto& t) { return t.what == what; }));
+    }
+    std::int64_t mb(const http::Response& r) {
+        const auto d = hints::decode_dynamic(r.headers.all("CMSD-Dynamic"));
+        return d.entries.empty() ? -1 : d.entries.back().keys.integer("mb").value_or(-1);
+    }
+    std::string media(const http::Response& r) {
+        const std::size_t at = r.body.find("http://");
+        return r.body.substr(at, r.body.find('\n', at) - at);
+    }
+    http::CallResult fetch(const std::string& url) {
+        http::Request r;
+        const std::size_t slash = url.find('/', 7);
+        r.target = url.substr(slash);
+        http::CallResult out;
+        const auto call = client.send(io::Address::parse(url.substr(7, slash - 7)), r, {},
+                                      [&](http::CallResult c) { out = std::move(c); });
+        run(300);
+        return out;
+    }
+};
+
+TEST_F(PathTest, PlaysWithAPlaylistAtTheNodeAndHints) {
+    const auto a = ask("prep", "sid=\"a\",sf=h,su");
+    run(300);
+    ASSERT_EQ(a->result.response.status, 200) << a->result.response.body;
+    EXPECT_EQ(a->result.response.headers.get("Content-Type"), "application/vnd.apple.mpegurl");
+    EXPECT_EQ(a->result.response.headers.get("CMSD-Static"), "ot=m,sf=h,st=v");
+    const auto segment = fetch(media(a->result.response));
+    EXPECT_EQ(segment.response.status, 200);
+    EXPECT_EQ(mb(segment.response), mb(a->result.response));
+    EXPECT_GT(mb(segment.response), 0);
+}
+TEST_F(PathTest, HintsThatAreMissingMalformedContradictoryOrLongStillGetAnAnswer) {
+    http::Headers contradictory, over_long, both;
+    contradictory.add("CMCD-Session", "sid=\"x\"");
+    over_long.add("CMCD-Session", "sid=\"" + std::string(9000, 'a') + "\"");
+    std::vector<std::unique_ptr<Asked>> all;
+    all.push_back(ask("prep", ""));
+    all.push_back(ask("prep", "%%%,,=;br=abc,sid=,\"\"\""));
+    all.push_back(ask("prep", "sid=\"y\"", contradictory));
+    all.push_back(ask("prep", "", over_long));
+    run(500);
+    for (const auto& one : all) EXPECT_EQ(one->result.response.status, 200);
+    EXPECT_EQ(director->engine().counts().taken, 4u);
+    EXPECT_EQ(director->front().counts().sids_made, 4u);
+    EXPECT_GT(director->front().counts().hints_dropped, 3u);
+}
+TEST_F(PathTest, TopBitrateBoundsTheRung) {
+    const auto a = ask("prep", "sid=\"a\",tb=1600");  // 200 kB a second
+    run(300);
+    EXPECT_LE(mb(a->result.response), 1600);
+    EXPECT_EQ(a->result.response.body.find("BANDWIDTH=3200000"), std::string::npos);
+}
+TEST_F(PathTest, TheSameSidTwiceIsOneSetUpAndTwoAnswers) {
+    const auto a = ask("check", "sid=\"same\"");
+    const auto b = ask("check", "sid=\"same\"");
+    run(500);
+    EXPECT_EQ(a->result.response.status, 200);
+    EXPECT_EQ(b->result.response.status, 200);
+    EXPECT_EQ(media(a->result.response), media(b->result.response));
+    EXPECT_EQ(count("ran"), 1);
+    const auto c = ask("check", "sid=\"same\"");
+    run(300);
+    EXPECT_EQ(media(c->result.response), media(a->result.response));
+    EXPECT_EQ(count("ran"), 1);
+}
+TEST_F(PathTest, AFrozenNodeFailsThePaidSessionOnceInTime) {
+    for (auto& node : nodes) node->freeze_after_paid(true);
+    const auto a = ask("check", "sid=\"a\"");
+    run(4900);
+    EXPECT_EQ(a->answers, 0);
+    run(200);
+    EXPECT_EQ(a->result.response.status, 504);
+    EXPECT_EQ(count("setup"), 1);
+    for (auto& node : nodes) node->hang(false);
+    run(5000);
+    EXPECT_EQ(a->answers, 1);
+    EXPECT_EQ(nodes[0]->sessions() + nodes[1]->sessions(), 0u)
+        << "the work that came to nobody is called off";
+}
+TEST_F(PathTest, APlayerThatLeavesIsAbandonedAndItsRoomComesBack) {
+    {
+        const auto a = ask("check", "sid=\"a\"");
+        run(20);
+    }
+    run(100);
+    EXPECT_EQ(director->engine().counts().abandoned, 1u);
+    run(10000);
+    EXPECT_EQ(director->engine().open_sessions(), 0u);
+    EXPECT_EQ(nodes[0]->sessions() + nodes[1]->sessions(), 0u);
+}
+TEST_F(PathTest, AHalfClosedPlayerStillHears) {
+    struct Raw : io::StreamHandler {
+        std::unique_ptr<io::Stream> stream;
+        std::string got;
+        void on_data(std::string_view b) override { got += b; }
+        void on_end() override {}
+        void on_closed(io::Closing) override {}
+    } raw;
+    raw.stream = rig.dial(kDirector, 1000, &raw);
+    raw.stream->write("GET /v1/watch/t/prep/x/master.m3u8?CMCD=sid%3D%22h%22 HTTP/1.1\r\nHost: d\r\n\r\n");
+    raw.stream->end();
+    run(500);
+    EXPECT_EQ(raw.got.substr(0, 15), "HTTP/1.1 200 OK") << raw.got;
+}
+TEST_F(PathTest, ACheckInThatArrivesAsItsNodeDrains) {
+    standins::Listed one;
+    one.id = "n0", one.kind = "k", one.address = {"127.0.0.1", 9000}, one.state = "draining";
+    list->set(one);
+    const auto a = ask("check", "sid=\"a\"");
+    run(1000);
+    EXPECT_EQ(a->result.response.status, 200);
+    taps.clear();
+    for (int k = 0; k < 5; ++k) {
+        const auto b = ask("check", "sid=\"b" + std::to_string(k) + "\"");
+        run(300);
+        EXPECT_EQ(b->result.response.status, 200);
+    }
+    for (const auto& t : taps)
+        if (t.what == "setup") {
+            EXPECT_EQ(t.where, "n1");
+        }
+}
+TEST_F(PathTest, NoNodeMeansARefusalWithTimeToComeBack) {
+    list->remove("n0");
+    list->remove("n1");
+    run(200);
+    const auto a = ask("check", "sid=\"a\"");
+    run(2000);
+    EXPECT_EQ(a->result.response.status, 503);
+    EXPECT_TRUE(a->result.response.headers.get("Retry-After"));
+    const auto d = hints::decode_dynamic(a->result.response.headers.all("CMSD-Dynamic"));
+    ASSERT_EQ(d.entries.size(), 1u);
+    EXPECT_TRUE(d.entries[0].keys.flag("du"));
+}
+TEST_F(PathTest, ALostNodeEndsItsSessionsAndTheSidMayReturn) {
+    const auto a = ask("check", "sid=\"a\"");
+    run(500);
+    const std::string where = media(a->result.response);
+    const std::size_t lost = where.find(":9000/") != std::string::npos ? 0 : 1;
+    nodes[lost]->crash();
+    EXPECT_EQ(fetch(where).end, http::CallEnd::not_connected);
+    run(3000);
+    EXPECT_EQ(director->engine().playing(), 0u);
+    EXPECT_EQ(director->engine().counts().reset, 1u);
+    const auto b = ask("check", "sid=\"a\"");
+    run(1000);
+    EXPECT_EQ(b->result.response.status, 200);
+    EXPECT_NE(media(b->result.response), where);
+}
+TEST_F(PathTest, ARungSetWhileItPlaysReachesThePlayer) {
+    const auto a = ask("prep", "sid=\"a\"");
+    run(300);
+    const std::string url = media(a->result.response);
+    const auto before = mb(fetch(url).response);
+    for (const auto& t : std::vector<standins::Tap>(taps)) {
+        if (t.what != "setup") continue;
+        http::Request r;
+        r.method = "PUT", r.body = "{\"rung\":0}";
+        r.target = "/v1/sessions/d/" + std::to_string(t.session) + "/0/rung";
+        const auto call =
+            client.send({"127.0.0.1", static_cast<std::uint16_t>(t.where == "n0" ? 9000 : 9001)}, r, {},
+                        [](const http::CallResult&) {});
+        run(200);
+    }
+    EXPECT_EQ(mb(fetch(url).response), 800);
+    EXPECT_NE(before, 800);
+}
+TEST_F(PathTest, AMovedPlayerIsSentBackAndOver) {
+    const auto a = ask("prep", "sid=\"a\"");
+    run(300);
+    const std::string url = media(a->result.response);
+    const auto t =
+        *std::find_if(taps.begin(), taps.end(), [](const auto& one) { return one.what == "setup"; });
+    http::Request r;
+    r.method = "POST", r.target = "/v1/sessions/d/" + std::to_string(t.session) + "/0/move";
+    const auto call = client.send({"127.0.0.1", static_cast<std::uint16_t>(t.where == "n0" ? 9000 : 9001)}, r,
+                                  {}, [](const http::CallResult&) {});
+    run(300);
+    const auto gone = fetch(url);
+    EXPECT_EQ(gone.response.status, 410);
+    EXPECT_EQ(gone.response.headers.get("X-Ivyfield-Moved"), "1");
+    const auto b = ask("prep", "sid=\"a\"");
+    run(500);
+    EXPECT_EQ(b->result.response.status, 200);
+    EXPECT_NE(media(b->result.response), url);
+}
+TEST_F(PathTest, WhatIsNotThereIs404AndOtherMethods405) {
+    for (const auto& [target, status] : std::vector<std::pair<std::string, int>>{
+             {"/", 404},
+             {"/v1/watch/nobody/prep/x/master.m3u8", 404},
+             {"/v1/watch/t/none/x/master.m3u8", 404},
+             {"/v1/watch/t/prep/" + std::string(300, 'x') + "/master.m3u8", 404},
+             {"/v1/watch/t/prep/%zz/master.m3u8", 404},
+             {"/v1/status", 200}}) {
+        http::Request r;
+        r.target = target;
+        int got = 0;
+        const auto call =
+            client.send(kDirector, r, {}, [&](const http::CallResult& c) { got = c.response.status; });
+        run(100);
+        EXPECT_EQ(got, status) << target;
+    }
+    EXPECT_EQ(director->engine().counts().taken, 0u);
+}
+
+}  // namespace
--- a/tests/io/io_test.cpp
+++ b/tests/io/io_test.cpp
@@ -254,6 +254,28 @@
     EXPECT_EQ(late.closed, std::vector<Closing>{Closing::refused});
 }
 
+TEST(Virtual, AProcessThatStandsStillFindsAllAtOnceAndMayStillCallOff) {
+    World world(4);
+    VirtualLoop& one = world.start("one");
+    std::string story;
+    Timer first = one.after(10, [&] { story += "a"; });
+    Timer second = one.after(20, [&] {
+        story += "b";
+        first.stop();
+    });
+    Timer third = one.after(30, [&] { story += "c"; });
+    Timer fourth = one.after(15, [&] {
+        story += "x";
+        third.stop();
+    });
+    world.run_until(5);
+    world.stall(one, true);
+    world.run_until(100);
+    EXPECT_EQ(story, "");
+    world.stall(one, false);
+    EXPECT_EQ(story, "axb") << "called off by one that fell due with it";
+}
+
 TEST(Addresses, ReadAndWrittenAlike) {
     for (const char* text : {"127.0.0.1:80", "[::1]:8080", "0.0.0.0:0"})
         EXPECT_EQ(Address::parse(text).text(), text);
