--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -44,7 +44,12 @@
             // valijson writes [key]; a JSON pointer has /key.
             path += "/" + (part.size() >= 2 && part.front() == '[' ? part.substr(1, part.size() - 2) : part);
         }
-        faults.push_back({path, error.description});
+        // In words that help: valijson names its own constraints.
+        std::string why = error.description;
+        const std::string unknown = "Object contains a property that could not be validated";
+        if (why.compare(0, unknown.size(), unknown) == 0 && why.find(": ") != std::string::npos)
+            why = "unknown field " + why.substr(why.rfind(": ") + 2);
+        faults.push_back({path, why});
     }
     // "Failed to validate against child schema" of a parent says nothing that its child has not said better.
     std::vector<Fault> told;
--- a/tests/config/config_test.cpp
+++ b/tests/config/config_test.cpp
@@ -51,6 +51,14 @@
                              "/classes/0/aim_ms", "/tenants", "/listen"})
         EXPECT_TRUE(has(all, path)) << path;
 }
+TEST(Config, AnUnknownFieldIsNamed) {
+    json doc = example();
+    doc["fleet"]["rungs"] = 5;
+    const auto faults = config::load(doc.dump()).faults;
+    ASSERT_EQ(faults.size(), 1u);
+    EXPECT_EQ(faults[0].path, "/fleet");
+    EXPECT_EQ(faults[0].why, "unknown field 'rungs'.");
+}
 TEST(Config, NotJsonIsOneFault) {
     EXPECT_EQ(config::load("{\"name\": ").faults.size(), 1u);
     EXPECT_EQ(config::load_file("/nowhere/at/all").faults.size(), 1u);
