--- a/src/cli/day_command.cpp
+++ b/src/cli/day_command.cpp
@@ -1,5 +1,7 @@
 #include "cli/day_command.hpp"
 
+#include <signal.h>
+
 #include <fstream>
 #include <stdexcept>
 
@@ -107,11 +109,16 @@
     io::EvLoop loop(seed);
     ProcessHost host(loop, options.logs);
     day::Report result;
+    bool over = false;
     day::Day day(loop, file, seed, host, 1500, [&](const day::Report& report) {
         result = report;
+        over = true;
         loop.stop();
     });
+    // A day that is broken off takes its directors along.
+    for (const int number : {SIGINT, SIGTERM}) loop.on_signal(number, [&] { loop.stop(); });
     loop.run();
+    if (!over) throw std::runtime_error("the day was broken off");
     write_out(result, day.taps(), options);
     return result;
 }
