The audit judges the second of two alike requests: wrong and late answers break rule 1

Cause: players that ask twice were tapped, but nothing judged what their second request heard: a check that could not fail.

Change: a wrong status, a second answer or a late one to it is a breach, with a test that plants each of the wrong and late ones. One that is never answered stays unjudged: its player may stop before.

--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -29,6 +29,7 @@
     Verdict run() {
         for (const Tap& t : taps_) {
             if (t.what == "ask") on_ask(t);
+            else if (t.what == "ask_again" || t.what == "answer_again") on_twin(t);
             else if (t.what == "answer" || t.what == "gave_up" || t.what == "left") on_answer(t);
             else if (t.what == "setup") on_setup(t);
             else if (t.what == "setup_over") on_setup_over(t);
@@ -73,6 +74,25 @@
         asks_[t.where] = t;
         requests_[t.director].push_back(t.at);
     }
+    // The second of two alike requests is owed an answer of its own. A player that stops before has closed
+    // it.
+    void on_twin(const Tap& t) {
+        if (t.what == "ask_again") {
+            verdict_.checked[1] += 1;
+            twins_[t.where] = t;
+            return;
+        }
+        const auto it = twins_.find(t.where);
+        if (it == twins_.end())
+            return breach(1, t.at, t.where + " heard a second answer to its second request");
+        const Tap ask = it->second;
+        twins_.erase(it);
+        if (down(ask.director, ask.at, t.at)) return;
+        if (t.status != 200 && t.status != 503 && t.status != 504)
+            breach(1, t.at, t.where + "'s second request heard status " + std::to_string(t.status));
+        else if (t.at - ask.at > patience(ask.cls) + terms_.answer_slack + terms_.network_slack)
+            breach(1, t.at, t.where + "'s second request was answered late");
+    }
     void on_answer(const Tap& t) {
         const auto it = asks_.find(t.where);
         if (it == asks_.end()) return breach(1, t.at, t.where + " heard a second answer");
@@ -267,6 +287,7 @@
     const Terms& terms_;
     const std::vector<Outage>& outages_;
     Verdict verdict_;
+    std::map<std::string, Tap> twins_;
     std::map<std::string, Tap> asks_;  // by player
     std::map<Session, Tap> out_, ran_;
     std::map<Session, std::pair<Tap, Tap>> pending_overlap_;
--- a/tests/audit/audit_test.cpp
+++ b/tests/audit/audit_test.cpp
@@ -76,6 +76,16 @@
     odd.answer(10, "v", 500);
     EXPECT_EQ(odd.broken(), Rules{1});
 }
+TEST(Audit, Rule1TheSecondOfTwoAlikeRequests) {
+    Traffic t;
+    t.add(0, "ask_again", "v");
+    t.add(10, "answer_again", "v").status = 200;
+    EXPECT_EQ(t.broken(), Rules{});
+    t.taps[1].status = 500;
+    EXPECT_EQ(t.broken(), Rules{1});
+    t.taps[1].status = 504, t.taps[1].at = 5300;
+    EXPECT_EQ(t.broken(), Rules{1});
+}
 TEST(Audit, Rule2PaidSentAgainThoughItMayHaveRun) {
     Traffic t;
     t.add(0, "ask", "v");
