--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -27,9 +27,24 @@
     Judge(const std::vector<Tap>& taps, const Terms& terms, const std::vector<Outage>& outages)
         : taps_(taps), terms_(terms), outages_(outages) {}
     Verdict run() {
+        // The second of two alike requests is one more that the director took, unless it joined the session
+        // of the first: both play. It comes as a new one where it has no sid, or the first was refused
+        // before.
+        std::map<std::string, int> first, second;
+        std::set<std::string> apart;
+        for (const Tap& t : taps_) {
+            if (t.what == "ask_again" && t.text == "unknown") apart.insert(t.where);
+            if (t.what == "answer") first.emplace(t.where, t.status);
+            if (t.what == "answer_again") second.emplace(t.where, t.status);
+        }
+        for (const auto& [who, status] : second)
+            if (status == 200 && !apart.count(who) && first.count(who) && first.at(who) == 200)
+                joined_.insert(who);
         for (const Tap& t : taps_) {
             if (t.what == "ask") on_ask(t);
-            else if (t.what == "ask_again" || t.what == "answer_again") on_twin(t);
+            else if (t.what == "ask_again" || t.what == "answer_again" || t.what == "gave_up_again" ||
+                     t.what == "left_again")
+                on_twin(t);
             else if (t.what == "answer" || t.what == "gave_up" || t.what == "left") on_answer(t);
             else if (t.what == "setup") on_setup(t);
             else if (t.what == "setup_over") on_setup_over(t);
@@ -47,6 +62,9 @@
             if (!down(ask.director, ask.at, ask.at + patience(ask.cls)))
                 breach(1, ask.at,
                        ask.where + " (sid " + ask.sid + ") never heard an answer of " + ask.director);
+        for (const auto& [who, ask] : twins_)
+            if (!down(ask.director, ask.at, ask.at + patience(ask.cls)))
+                breach(1, ask.at, ask.where + "'s second request never heard an answer of " + ask.director);
         return verdict_;
     }
 
@@ -68,27 +86,39 @@
         return false;
     }
 
+    // Since when the director's present life can have acted; what an earlier one did is not its own.
+    double life_of(const std::string& director, double at) const {
+        double born = -1;
+        for (const Outage& o : outages_)
+            if (o.died && o.director == director && o.from <= at) born = std::max(born, o.from);
+        return born;
+    }
+
     // ---- 1: one answer, in time ----
     void on_ask(const Tap& t) {
         verdict_.checked[1] += 1;
         asks_[t.where] = t;
         requests_[t.director].push_back(t.at);
     }
-    // The second of two alike requests is owed an answer of its own. A player that stops before has closed
-    // it.
+    // The second of two alike requests is owed an answer of its own, unless its player closes it before.
     void on_twin(const Tap& t) {
         if (t.what == "ask_again") {
             verdict_.checked[1] += 1;
             twins_[t.where] = t;
+            if (!joined_.count(t.where)) requests_[t.director].push_back(t.at);
             return;
         }
         const auto it = twins_.find(t.where);
         if (it == twins_.end())
-            return breach(1, t.at, t.where + " heard a second answer to its second request");
+            return t.what == "left_again"
+                       ? void()
+                       : breach(1, t.at, t.where + " heard a second answer to its second request");
         const Tap ask = it->second;
         twins_.erase(it);
-        if (down(ask.director, ask.at, t.at)) return;
-        if (t.status != 200 && t.status != 503 && t.status != 504)
+        if (t.what == "left_again" || down(ask.director, ask.at, t.at)) return;
+        if (t.what == "gave_up_again")
+            breach(1, t.at, t.where + "'s second request heard nothing of " + ask.director + " in its time");
+        else if (t.status != 200 && t.status != 503 && t.status != 504)
             breach(1, t.at, t.where + "'s second request heard status " + std::to_string(t.status));
         else if (t.at - ask.at > patience(ask.cls) + terms_.answer_slack + terms_.network_slack)
             breach(1, t.at, t.where + "'s second request was answered late");
@@ -222,9 +252,7 @@
         verdict_.checked[5] += 1;
         auto& held = seats_[{t.director, t.title, t.cls}];
         // What an earlier life of the director set up is not this one's.
-        double born = -1;
-        for (const Outage& o : outages_)
-            if (o.died && o.director == t.director && o.from <= t.at) born = std::max(born, o.from);
+        const double born = life_of(t.director, t.at);
         for (auto one = held.begin(); one != held.end();)
             one = one->second < born ? held.erase(one) : std::next(one);
         held[{t.director, t.session, t.attempt}] = t.at;
@@ -267,9 +295,11 @@
         auto& requests = requests_[t.director];
         again.push_back(t.at);
         // Taps are a little later than the director's own clock: the window of requests is a little longer.
-        const double from = t.at - terms_.budget_window;
-        while (!again.empty() && again.front() <= from) again.pop_front();
-        while (!requests.empty() && requests.front() <= from - 2 * terms_.network_slack) requests.pop_front();
+        // Each life of a director counts from its start.
+        const double from = t.at - terms_.budget_window, born = life_of(t.director, t.at);
+        while (!again.empty() && again.front() <= std::max(from, born)) again.pop_front();
+        while (!requests.empty() && requests.front() <= std::max(from - 2 * terms_.network_slack, born))
+            requests.pop_front();
         const double most =
             terms_.budget_free + terms_.budget_per_request * static_cast<double>(requests.size());
         if (static_cast<double>(again.size()) > most + 1e-9)
@@ -292,7 +322,7 @@
     std::map<std::tuple<std::string, std::string, std::string>, std::map<Attempt, double>> seats_;
     std::map<Attempt, std::pair<std::tuple<std::string, std::string, std::string>, std::string>> seat_of_;
     std::map<std::string, std::deque<double>> requests_, again_;
-    std::set<std::string> hung_;
+    std::set<std::string> hung_, joined_;
 };
 
 }  // namespace
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -244,7 +244,21 @@
     if (on_end) on_end(s.record);
 }
 
-void Engine::take_list(const ServerList& list) { feed(list); }
+void Engine::take_list(const ServerList& list) {
+    if (list.kind == ListKind::full || list.kind == ListKind::saved) listed_.clear();
+    for (const ServerEntry& entry : list.entries)
+        if (list.kind != ListKind::failed) listed_[entry.id] = entry;
+    feed(list);
+}
+// The list knows of a start seconds late, and of a process that died and came back between two looks not at
+// all; the node itself tells at once.
+void Engine::life(ServerId server, Time started) {
+    const auto it = listed_.find(server);
+    if (it == listed_.end() || it->second.state == ServerState::gone || started <= it->second.last_start)
+        return;
+    it->second.last_start = started;
+    feed(ServerList{ListKind::changes, {it->second}});
+}
 
 // ---- What nodes tell ----
 
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -77,6 +77,7 @@
     void lost(SessionId session, int attempt, Outcome outcome) override;
     void released(SessionId session, int attempt) override;
     void note(SessionId session, int attempt, ServerId server, NoteKind kind, double value) override;
+    void life(ServerId server, Time started) override;
     void probed(ServerId server, Outcome outcome, Time waited, const LoadReport& report) override;
 
     const Counts& counts() const { return counts_; }
@@ -133,6 +134,7 @@
     std::size_t playing_ = 0;
     std::map<SessionId, std::unique_ptr<Session>> sessions_;
     std::map<std::pair<SessionId, int>, Doubt> doubts_;
+    std::map<ServerId, ServerEntry> listed_;  // as the module was told last
     std::map<std::string, SessionId> by_key_;
     std::map<std::string, Remembered> remembered_;
     std::deque<std::pair<Time, std::string>> remembered_order_;
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -74,6 +74,9 @@
     // An attempt that was lost or cancelled is known to be over at the node.
     virtual void released(SessionId session, int attempt) = 0;
     virtual void note(SessionId session, int attempt, ServerId server, NoteKind kind, double value) = 0;
+    // The process that answers at the node, now or when one answers again, has not run since before
+    // `started`.
+    virtual void life(ServerId server, Time started) = 0;
     virtual void probed(ServerId server, Outcome outcome, Time waited, const LoadReport& report) = 0;
 };
 
--- a/src/measure/main.cpp
+++ b/src/measure/main.cpp
@@ -41,7 +41,10 @@
         const http::Request& r = e->request();
         if (r.path() == "/v1/events") {
             e->start(200, {});
-            e->write("{\"event\":\"hello\",\"node\":\"f\",\"boot\":\"1\",\"protocol\":1}\n");
+            e->write(
+                "{\"event\":\"hello\",\"node\":\"f\",\"boot\":\"1\",\"protocol\":2,\"whole\":true,\"age_ms\":"
+                "1e9}\n"
+                "{\"event\":\"account\",\"boot\":\"1\",\"seq\":0}\n");
             stream_ = e;
             if (!ticking_) tick();
             return;
@@ -49,18 +52,25 @@
         if (r.path() == "/v1/load")
             return e->respond({200, {}, "{\"streams\":1,\"link\":0.01,\"uplink\":0.01}"});
         if (r.method != "POST") return e->respond({204, {}, ""});
+        if (r.path() != "/v1/sessions") return e->respond({200, {}, "{}"});  // a release
         if (silent) {
             held_.push_back(e);
             return;
         }
         const json body = json::parse(r.body);
+        const std::uint64_t begun = ++seq_;
         const std::string end = json{{"event", "end"},
+                                     {"boot", "1"},
+                                     {"seq", ++seq_},
                                      {"session", body["session"]},
                                      {"attempt", body["attempt"]},
                                      {"how", "ended"}}
                                     .dump() +
                                 "\n";
-        e->respond({200, {}, "{\"media\":\"http://127.0.0.1:9/m/\"}"});
+        e->respond(
+            {200,
+             {},
+             "{\"media\":\"http://127.0.0.1:9/m/\",\"boot\":\"1\",\"seq\":" + std::to_string(begun) + "}"});
         if (plays_ > 0) ends_.emplace_back(loop_.now() + plays_, end);
         if (!ending_ && !ends_.empty()) wait();
     }
@@ -91,6 +101,7 @@
     std::vector<http::ExchangePtr> held_;
     std::deque<std::pair<io::Time, std::string>> ends_;
     io::Timer timer_, tick_;
+    std::uint64_t seq_ = 0;
     bool ending_ = false, ticking_ = false;
 };
 
--- a/src/nodes/link.cpp
+++ b/src/nodes/link.cpp
@@ -215,6 +215,7 @@
         node.last_word = loop_.now();
         const auto changes = node.account.stream_refused();
         counts_.put_right += changes.size();
+        events_->life(id, loop_.now());
         carry(id, changes);
     }
 }
@@ -275,6 +276,8 @@
             counts_.lives_ended += !node.account.boot().empty() && node.account.boot() != boot;
             const auto changes = node.account.hello(boot, whole);
             counts_.put_right += changes.size();
+            const double age = event.value("age_ms", 0.0);
+            events_->life(server, loop_.now() - std::max(0.0, age));
             carry(server, changes);
         } else if (kind == "plays") {
             carry(server, node.account.listed(key()));
--- a/src/nodes/link.hpp
+++ b/src/nodes/link.hpp
@@ -28,7 +28,9 @@
     io::Time probe_timeout = 2000;
     io::Time silent = 3000;    // a stream without even a tick for so long is dialled anew
     io::Time account = 10000;  // and one that has not told the whole account by then
-    io::Time redial = 250;     // after a loss, doubling up to `redial_most`; spread by half either way
+    // After a loss, doubling up to `redial_most`, spread by half either way. Short at first: a node that
+    // comes back is cold, and only its hello tells.
+    io::Time redial = 80;
     io::Time redial_most = 4000;
     std::size_t dials = 32;              // streams dialled at once; further ones wait for their turn
     io::Time unheard_after = 30000;      // no stream for so long, nor a refusal: what plays there is lost
--- a/src/standins/node.cpp
+++ b/src/standins/node.cpp
@@ -52,7 +52,8 @@
       settings_(std::move(settings)),
       tap_(std::move(tap)),
       address_(settings_.listen) {}
-Node::~Node() = default;
+// Connections first, while all that hears of their end is still here.
+Node::~Node() { server_.reset(); }
 
 void Node::tap(Tap t) {
     t.at = loop_.now();
@@ -402,13 +403,11 @@
     http::Headers headers;
     headers.add("Content-Type", "application/x-ndjson");
     e->start(200, headers);
-    std::string out = json{{"event", "hello"},
-                           {"node", settings_.name},
-                           {"boot", boot_},
-                           {"protocol", 2},
-                           {"whole", !resumes}}
-                          .dump() +
-                      "\n";
+    std::string out =
+        json{{"event", "hello"}, {"node", settings_.name}, {"boot", boot_},
+             {"protocol", 2},    {"whole", !resumes},      {"age_ms", loop_.now() - fleet_.started(number_)}}
+            .dump() +
+        "\n";
     if (resumes) {
         for (const auto& [seq, line] : teller.ends)
             if (seq > *since) out += line + "\n";
--- a/src/standins/player.cpp
+++ b/src/standins/player.cpp
@@ -99,11 +99,17 @@
                          [this, number](const http::CallResult& r) { answered(number, r); });
     if (s_.asks_twice && result_.tries == 1) {
         Tap twice = tap_of("ask_again");
+        twice.text = t.text;
         tap_(twice);
+        twin_due_ = loop_.after(s_.patience + 100, [this] {
+            second_.reset();
+            tap_(tap_of("gave_up_again"));
+        });
         second_ = client_.send(address, request(), options, [this](const http::CallResult& r) {
             Tap t = tap_of("answer_again");
             t.status = r.end == http::CallEnd::response ? r.response.status : 0;
             tap_(t);
+            twin_due_.stop();
             const std::shared_ptr<http::Call> keep(std::move(second_));
             loop_.post([keep] {});
         });
@@ -113,7 +119,7 @@
         leave_ = loop_.after(s_.leaves_after, [this] {
             if (!call_) return;
             call_.reset();
-            second_.reset();
+            drop_twin();
             tap_(tap_of("left"));
             result_.abandoned += 1;
             finish();
@@ -245,9 +251,18 @@
     pause_ = loop_.after(std::max(0.0, s_.segment - took), [this] { fetch(); });
 }
 
+// The viewer closes its second request itself: no answer is owed to it any more.
+void Viewer::drop_twin() {
+    if (!second_) return;
+    second_.reset();
+    twin_due_.stop();
+    tap_(tap_of("left_again"));
+}
+
 void Viewer::finish() {
     if (over_) return;
     over_ = true;
+    drop_twin();
     // Told from the loop: the owner destroys this.
     pause_ = loop_.after(0, [this] {
         const auto done = done_;
--- a/src/standins/player.hpp
+++ b/src/standins/player.hpp
@@ -56,6 +56,7 @@
     void play(const std::string& base);
     void fetch();
     void segment_came(const http::CallResult& result);
+    void drop_twin();
     void finish();
     Tap tap_of(const char* what) const;
 
@@ -69,7 +70,7 @@
     std::string asked_director_, base_path_;
     io::Address node_;
     std::unique_ptr<http::Call> call_, second_, media_;
-    io::Timer patience_, leave_, pause_;
+    io::Timer patience_, leave_, pause_, twin_due_;
     io::Time began_ = 0, asked_at_ = 0, ends_ = 0, segment_began_ = 0;
     std::uint64_t segment_ = 0;
     int rung_ = 0, best_rung_ = 0, misses_ = 0;
--- a/src/standins/tap.hpp
+++ b/src/standins/tap.hpp
@@ -12,7 +12,8 @@
     // At nodes: "node_start", "node_down", "node_fell", "hang", "thaw", "setup" (a request came),
     // "setup_over" (answered, or its connection closed), "ran" (the work of the set-up was done), "rung",
     // "cancel", "end" (of a playing session). At the list: "list_sent". At players: "ask", "answer",
-    // "gave_up", "left", and "ask_again" and "answer_again" of a request that was sent twice.
+    // "gave_up", "left", and "ask_again", "answer_again", "gave_up_again" and "left_again" of a request that
+    // was sent twice.
     std::string what;
     io::Time at = 0;
     std::string where;     // the node's, list's or player's name
--- a/tests/audit/audit_test.cpp
+++ b/tests/audit/audit_test.cpp
@@ -85,6 +85,19 @@
     EXPECT_EQ(t.broken(), Rules{1});
     t.taps[1].status = 504, t.taps[1].at = 5300;
     EXPECT_EQ(t.broken(), Rules{1});
+    t.taps[1].what = "left_again";
+    EXPECT_EQ(t.broken(), Rules{}) << "its player closed it";
+    t.taps[1].what = "gave_up_again";
+    EXPECT_EQ(t.broken(), Rules{1});
+    t.taps.pop_back();
+    EXPECT_EQ(t.broken(), Rules{1}) << "never answered";
+}
+TEST(Audit, Rule6EachLifeOfADirectorCountsFromItsStart) {
+    Traffic t;
+    for (int k = 0; k < 2; ++k) t.add(k * 100, "setup", "n0", "free").attempt = 1;
+    EXPECT_EQ(t.broken(), Rules{6});
+    t.outages = {{"d0", 50, 60, true}};
+    EXPECT_EQ(t.broken(), Rules{});
 }
 TEST(Audit, Rule2PaidSentAgainThoughItMayHaveRun) {
     Traffic t;
