--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -8,6 +8,9 @@
 #include <map>
 #include <random>
 #include <set>
+#ifdef IVYFIELD_CHECKS
+#include <stdexcept>
+#endif
 
 #include "ivyfield/director.hpp"
 
@@ -152,6 +155,8 @@
     bool listed = true;
     Account streams, link;
     std::set<SessionId> sessions;  // set-ups and plays of ours
+    // How many of them are alike in what they take: class, rung and, where viewers share a stream, title.
+    std::map<std::tuple<TitleId, int, int>, int> alike;
     // The clock.
     Time interval_end = kNever, last_grant = kNever;
     double granted = 0;
@@ -235,17 +240,44 @@
 
     double use(const Server& v) { return std::max(v.link.use(now_), uplinks_[rack(v)].use(now_)); }
 
-    // Counts own streams and rates of a server anew. Viewers of one live title, class and rung share a
-    // stream.
-    void recount(Server& v) {
-        std::map<std::tuple<TitleId, int, int>, int> shared;
-        double kb = 0, streams = 0;
+    // A session at the server is counted (by 1) or not any more (-1); recount() follows. In between neither
+    // its rung nor its place may change.
+    void count(Server& v, const Session& s, int by) {
+        const auto it =
+            v.alike.try_emplace({shares(s) ? s.request.title : 0, s.request.cls, s.rung}, 0).first;
+        it->second += by;
+        if (it->second == 0) v.alike.erase(it);
+    }
+#ifdef IVYFIELD_CHECKS
+    // In the tests: the sums are those of a walk over the sessions.
+    void check_count(const Server& v, double kb, double streams) const {
+        std::set<std::tuple<TitleId, int, int>> shared;
         for (const SessionId id : v.sessions) {
             const Session& s = sessions_.at(id);
-            const bool further = shares(s) && shared[{s.request.title, s.request.cls, s.rung}]++ > 0;
-            kb += rate(s, s.rung) * (further ? set_.join_part : first_part(s));
-            streams += further ? 0 : 1;
+            const bool further = shares(s) && !shared.insert({s.request.title, s.request.cls, s.rung}).second;
+            kb -= rate(s, s.rung) * (further ? set_.join_part : first_part(s));
+            streams -= further ? 0 : 1;
         }
+        if (std::abs(kb) > 1e-6 || std::abs(streams) > 1e-6)
+            throw std::logic_error("a server's count of sessions is off by " + std::to_string(kb) +
+                                   " kB a second and " + std::to_string(streams) + " streams");
+    }
+#endif
+    // Own streams and rates of a server. Viewers of one live title, class and rung share a stream. Summed
+    // over kinds of sessions, not over sessions: it is done at each change.
+    void recount(Server& v) {
+        double kb = 0, streams = 0;
+        for (const auto& [kind, n] : v.alike) {
+            const auto& [title, c, rung] = kind;
+            const bool joins = set_.classes[c].live && set_.join_part < 1;
+            const double first = joins ? set_.join_part + (1 - set_.join_part) / set_.directors : 1;
+            kb += set_.rung_kb[rung] * set_.classes[c].rate_part *
+                  (joins ? first + (n - 1) * set_.join_part : n);
+            streams += joins ? 1 : n;
+        }
+#ifdef IVYFIELD_CHECKS
+        check_count(v, kb, streams);
+#endif
         Account& up = uplinks_[rack(v)];
         up.set_own(now_, up.own + kb - v.link.own);
         v.link.set_own(now_, kb);
@@ -288,8 +320,11 @@
         Server* v = server(e.server);
         const auto it = sessions_.find(e.id);
         if (e.kind == NoteKind::rung && it != sessions_.end() && v) {
+            const bool here = v->sessions.count(e.id) != 0;
+            if (here) count(*v, it->second, -1);
             it->second.rung = std::clamp(static_cast<int>(e.value), 0, int(set_.rung_kb.size()) - 1);
             it->second.told = it->second.rung;
+            if (here) count(*v, it->second, 1);
             recount(*v);
             return forget_past(*v);
         }
@@ -512,7 +547,7 @@
         }
         if (cls(s).seats > 0) seats_[{s.request.title, s.request.cls}] += 1;
         wake(expires);  // also to know of an own stall
-        v.sessions.insert(id);
+        if (v.sessions.insert(id).second) count(v, s, 1);
         recount(v);
         act(SetRung{id, rung});
         act(Send{id, v.entry.id, expires});
@@ -590,7 +625,9 @@
     void take(Server& v, const Step& step, bool up) {
         for (const SessionId id : step.members) {
             Session& s = sessions_.at(id);
+            count(v, s, -1);
             s.rung = step.to;
+            count(v, s, 1);
             if (up) s.risen = now_;
             changed_.insert(id);
         }
@@ -748,7 +785,10 @@
         s.worth = cls(s).worth;
         sessions_[e.request.id] = s;
         if (cls(s).seats > 0) seats_[{s.request.title, s.request.cls}] += 1;
-        if (Server* v = server(e.server)) v->sessions.insert(e.request.id), recount(*v), forget_past(*v);
+        if (Server* v = server(e.server); v && v->sessions.insert(e.request.id).second) {
+            count(*v, s, 1);
+            recount(*v), forget_past(*v);
+        }
     }
 
     void on(const SessionStarted& e) {
@@ -781,7 +821,7 @@
         }
         if (it == sessions_.end()) return;
         Session& s = it->second;
-        if (v) v->sessions.erase(e.id);
+        if (v && v->sessions.erase(e.id) > 0) count(*v, s, -1);
         if (cls(s).seats > 0) seats_[{s.request.title, s.request.cls}] -= 1;
         const bool ended = e.session_over || s.answered || !was_out;
         if (e.outcome != Outcome::full && e.outcome != Outcome::not_connected &&
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -8,7 +8,7 @@
 jobs=$(nproc)
 for kind in plain sanitize; do
     [ $kind = sanitize ] && on=ON || on=OFF
-    cmake -S . -B build-$kind -DIVYFIELD_TESTS=ON -DIVYFIELD_PROGRAM=ON -DIVYFIELD_SANITIZE=$on \
+    cmake -S . -B build-$kind -DIVYFIELD_TESTS=ON -DIVYFIELD_PROGRAM=ON -DIVYFIELD_SANITIZE=$on -DIVYFIELD_CHECKS=ON \
         -DCMAKE_BUILD_TYPE=Tests -DCMAKE_CXX_FLAGS="-Werror -O1 -g1" > /dev/null
     [ $kind = sanitize ] && target=all_tests || target=all
     cmake --build build-$kind -j"$jobs" --target $target
