--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -19,7 +19,7 @@
 }
 play() {  # prints "DAY verdicts/crashes" for each day; rules broken go to build-mutants/rules
     : > build-mutants/rules
-    for day in bad-day cold tries; do
+    for day in bad-day cold tries lives; do
         rm -rf build-mutants/runs && mkdir build-mutants/runs
         seq 1 "$seeds" | xargs -P "$(nproc)" -I N sh -c "timeout 120 build-mutants/out/ivyfield day examples/days/$day.json \
             --virtual --seed N > build-mutants/runs/N 2>&1; echo \$? > build-mutants/runs/N.code"
@@ -34,7 +34,7 @@
 perl -e 1
 fresh
 build "the program itself"
-printf '%-30s %9s %9s %9s  %s\n' "defect (of $seeds seeds)" bad-day cold tries "rules; a/b: a verdicts, b only crashes"
+printf '%-30s %9s %9s %9s %9s  %s\n' "defect (of $seeds seeds)" bad-day cold tries lives "rules; a/b: a verdicts, b only crashes"
 printf '%-30s' none
 play
 echo "  $(sort -u build-mutants/rules | tr '\n' ' ')"
--- a/tests/day/day_test.cpp
+++ b/tests/day/day_test.cpp
@@ -37,7 +37,7 @@
     }
 }
 TEST(Day, DaysMadeForOneRuleKeepIt) {
-    for (const auto& [name, rule] : {std::pair<const char*, int>{"cold", 4}, {"tries", 6}, {"tries", 5}})
+    for (const auto& [name, rule] : {std::pair<const char*, int>{"cold", 4}, {"tries", 6}, {"lives", 5}})
         for (std::uint64_t seed = 1; seed <= 3; ++seed) {
             const auto r = cli::play_virtual_day(loaded(file(name)), seed, {});
             expect_good(r);
