Browsers' preflights answered; real media with an index of its own, codecs and sizes; HLS a room

CMCD in request headers failed in browsers: director and node answered the CORS preflight 405. Both answer it now, and take no session for one; errors can be read by pages too. A folder of media is what a packager wrote: whole index with true durations for titles on demand, a window over it for live ones; codecs and sizes go with the set-up's answer into the multivariant playlist. Playlists are read and written by src/hls.

--- a/src/cli/director.cpp
+++ b/src/cli/director.cpp
@@ -136,6 +136,7 @@
                  {{"requests", f.requests},
                   {"bad", f.bad},
                   {"hints_dropped", f.hints_dropped},
+                  {"preflights", f.preflights},
                   {"gone", f.gone}}},
                 {"list",
                  {{"nodes", listed_},
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -51,7 +51,7 @@
     bool moving = false;        // the module moves it: its player comes back for a new session
     int rung = 0, rung_sent = 0;
     int attempt = -1;  // the one out or playing
-    std::string media;
+    Media media;
     std::vector<Waiter*> waiters;
     io::Timer deadline, expiry;
     std::deque<std::string> history;
@@ -262,7 +262,7 @@
 
 // ---- What nodes tell ----
 
-void Engine::started(SessionId id, int attempt, const std::string& media) {
+void Engine::started(SessionId id, int attempt, const Media& media) {
     const auto it = sessions_.find(id);
     if (it == sessions_.end() || it->second->attempt != attempt) return;  // its end came first
     Session& s = *it->second;
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -72,7 +72,7 @@
     void take_list(const ServerList& list);
 
     // NodeEvents
-    void started(SessionId session, int attempt, const std::string& media) override;
+    void started(SessionId session, int attempt, const Media& media) override;
     void over(SessionId session, int attempt, Outcome outcome, const LoadReport& report) override;
     void lost(SessionId session, int attempt, Outcome outcome) override;
     void released(SessionId session, int attempt) override;
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "ivyfield/director.hpp"
 
@@ -18,12 +19,22 @@
     int first_cell = 0, cell_count = 0, top_rung = 0;
 };
 
+// What a node plays at a rung, where it says so: as HLS tells it to players.
+struct Rendition {
+    std::string codecs, resolution;
+};
+// Where a node serves a session's media.
+struct Media {
+    std::string url;                    // absolute, ends with '/'
+    std::vector<Rendition> renditions;  // by rung; may be fewer
+};
+
 struct Placement {
     SessionId session = 0;
     int attempt = 0;
     ServerId server = 0;
     int rung = 0;
-    std::string media;  // where the node serves it: an absolute URL that ends with '/'
+    Media media;
 };
 
 enum class Answer { plays, refused, failed, abandoned };
@@ -66,7 +77,7 @@
 class NodeEvents {
   public:
     virtual ~NodeEvents() = default;
-    virtual void started(SessionId session, int attempt, const std::string& media) = 0;
+    virtual void started(SessionId session, int attempt, const Media& media) = 0;
     // Over, and nothing of it is left at the node.
     virtual void over(SessionId session, int attempt, Outcome outcome, const LoadReport& report) = 0;
     // Over for its session, but the node may hold it still; released() follows, once.
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -6,11 +6,17 @@
 #include <algorithm>
 #include <cmath>
 
+#include "hls/playlist.hpp"
+
 namespace ivyfield::fronts {
 
 namespace {
 
 constexpr std::size_t kLongestTitle = 200;
+// What a page of another origin may send and read.
+constexpr const char* kAllowed = "CMCD-Request, CMCD-Object, CMCD-Status, CMCD-Session";
+constexpr const char* kExposed = "CMSD-Dynamic, CMSD-Static, Retry-After";
+constexpr int kPreflightAge_s = 7200;  // the longest that browsers keep one
 
 std::vector<std::string> path_parts(std::string_view path) {
     std::vector<std::string> out;
@@ -50,17 +56,22 @@
     return std::llround(kb * 8);
 }
 
-std::string master_playlist(const Settings& settings, int cls, int rung, int top, const std::string& media) {
-    std::string out = "#EXTM3U\n#EXT-X-VERSION:6\n#EXT-X-INDEPENDENT-SEGMENTS\n";
+std::string master_playlist(const Settings& settings, int cls, int rung, int top, const core::Media& media) {
+    std::vector<hls::Variant> variants;
     const auto variant = [&](int r) {
-        const std::string bits = std::to_string(rung_kbps(settings, cls, r) * 1000);
-        out += "#EXT-X-STREAM-INF:BANDWIDTH=" + bits + ",AVERAGE-BANDWIDTH=" + bits + "\n" + media +
-               std::to_string(r) + "/index.m3u8\n";
+        hls::Variant v;
+        v.bandwidth = v.average_bandwidth = rung_kbps(settings, cls, r) * 1000;
+        if (static_cast<std::size_t>(r) < media.renditions.size()) {
+            v.codecs = media.renditions[static_cast<std::size_t>(r)].codecs;
+            v.resolution = media.renditions[static_cast<std::size_t>(r)].resolution;
+        }
+        v.uri = media.url + std::to_string(r) + "/index.m3u8";
+        variants.push_back(std::move(v));
     };
     variant(rung);
     for (int r = settings.classes[static_cast<std::size_t>(cls)].floor; r <= top; ++r)
         if (r != rung) variant(r);
-    return out;
+    return hls::write_master(variants);
 }
 
 // One HTTP request that waits for its session's answer.
@@ -85,8 +96,7 @@
         response.headers.add("CMSD-Dynamic",
                              hints::encode_dynamic({{"ivyfield-" + front.config_.name, keys}}));
         response.headers.add("Cache-Control", "no-store");
-        response.headers.add("Access-Control-Allow-Origin", "*");
-        response.headers.add("Access-Control-Expose-Headers", "CMSD-Dynamic, CMSD-Static, Retry-After");
+        http::allow_any_origin(response.headers, kExposed);
         exchange->respond(response);
         done = true;
         // The engine may still be in the call that told us.
@@ -150,13 +160,19 @@
     const auto parts = path_parts(request.path());
     const auto bad = [&](int code, const char* why) {
         counts_.bad += 1;
-        exchange->respond(http::plain(code, why));
+        http::Response r = http::plain(code, why);
+        http::allow_any_origin(r.headers, kExposed);
+        exchange->respond(r);
     };
     const bool is_watch =
         parts.size() == 6 && parts[0] == "v1" && parts[1] == "watch" && parts[5] == "master.m3u8";
     const bool is_status = parts.size() == 2 && parts[0] == "v1" && parts[1] == "status";
     if (!is_watch && !is_status)
         return bad(404, "nothing here; players ask /v1/watch/TENANT/CLASS/TITLE/master.m3u8");
+    if (http::is_preflight(request)) {
+        counts_.preflights += 1;
+        return exchange->respond(http::preflight_answer(kAllowed, kPreflightAge_s));
+    }
     if (request.method != "GET") return bad(405, "only GET");
     if (is_status) {
         http::Response r;
@@ -175,9 +191,11 @@
     ask.cls = index_of(s.classes, cls);
     if (ask.tenant < 0 || ask.cls < 0 || title.empty() || title.size() > kLongestTitle) {
         counts_.bad += 1;
-        return exchange->respond(http::plain(404, ask.tenant < 0 ? "no such tenant"
-                                                  : ask.cls < 0  ? "no such class"
-                                                                 : "no such title"));
+        http::Response r = http::plain(404, ask.tenant < 0 ? "no such tenant"
+                                            : ask.cls < 0  ? "no such class"
+                                                           : "no such title");
+        http::allow_any_origin(r.headers, kExposed);
+        return exchange->respond(r);
     }
     const hints::Decoded cmcd = hints::decode_cmcd(cmcd_sources(exchange->request()));
     counts_.hints_dropped += cmcd.dropped.size();
--- a/src/fronts/http/front.hpp
+++ b/src/fronts/http/front.hpp
@@ -4,6 +4,7 @@
 //     200  plays: a multivariant playlist whose media URIs lie at the chosen node; CMSD-Dynamic mb, rd
 //     503  refused: Retry-After, CMSD-Dynamic du
 //     504  failed
+//   OPTIONS of it, as a browser's preflight          204, what is allowed; no session is taken
 //   GET /v1/status                                    counts, as JSON
 //
 // The session's id is CMCD's sid; where none comes one is made, and the playlist's URIs carry it. A request
@@ -21,7 +22,7 @@
 namespace ivyfield::fronts {
 
 struct FrontCounts {
-    std::uint64_t requests = 0, bad = 0, hints_dropped = 0, sids_made = 0, gone = 0;
+    std::uint64_t requests = 0, bad = 0, hints_dropped = 0, sids_made = 0, gone = 0, preflights = 0;
 };
 
 class HttpFront {
@@ -51,7 +52,7 @@
 };
 
 // The playlist that sends a player to a node: the rung in force first, for players that start with the first.
-std::string master_playlist(const Settings& settings, int cls, int rung, int top, const std::string& media);
+std::string master_playlist(const Settings& settings, int cls, int rung, int top, const core::Media& media);
 // Kilobits a second of a rung of the class's ladder, as CMSD's mb and HLS's BANDWIDTH tell it.
 std::int64_t rung_kbps(const Settings& settings, int cls, int rung);
 
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -190,6 +190,25 @@
     return std::nullopt;
 }
 
+bool is_preflight(const Request& request) {
+    return request.method == "OPTIONS" && request.headers.get("Origin") &&
+           request.headers.get("Access-Control-Request-Method");
+}
+Response preflight_answer(std::string_view headers, int max_age_s) {
+    Response r;
+    r.status = 204;
+    r.headers.add("Access-Control-Allow-Origin", "*");
+    r.headers.add("Access-Control-Allow-Methods", "GET, HEAD, OPTIONS");
+    r.headers.add("Access-Control-Allow-Headers", std::string(headers));
+    r.headers.add("Access-Control-Max-Age", std::to_string(max_age_s));
+    r.headers.add("Vary", "Access-Control-Request-Headers");
+    return r;
+}
+void allow_any_origin(Headers& headers, std::string_view exposed) {
+    headers.set("Access-Control-Allow-Origin", "*");
+    headers.set("Access-Control-Expose-Headers", std::string(exposed));
+}
+
 Response plain(int status, std::string_view text) {
     Response r;
     r.status = status;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -56,6 +56,14 @@
 std::vector<std::pair<std::string, std::string>> query_arguments(std::string_view query);
 std::optional<std::string> query_argument(std::string_view query, std::string_view name);
 
+// Cross-origin requests of browsers (Fetch standard, "CORS protocol"). A preflight asks whether a request
+// with certain headers may be sent; it is answered with what is allowed, for how long, and does nothing else.
+bool is_preflight(const Request& request);
+// The answer: `headers` may be sent, any origin may ask, and need not ask again for `max_age_s` seconds.
+Response preflight_answer(std::string_view headers, int max_age_s);
+// What an answer must say for a page of any origin to read it and the headers named.
+void allow_any_origin(Headers& headers, std::string_view exposed);
+
 // A plain reply with a line of text.
 Response plain(int status, std::string_view text);
 
--- a/src/nodes/link.cpp
+++ b/src/nodes/link.cpp
@@ -62,6 +62,16 @@
     return report;
 }
 
+// An attribute for a playlist: what could end its line or its value is not taken over.
+std::string attribute(const json& from, const char* key, bool quoted) {
+    if (!from.is_object() || !from.contains(key) || !from.at(key).is_string()) return "";
+    const std::string text = from.at(key).get<std::string>();
+    const bool plain = text.size() <= 200 && std::all_of(text.begin(), text.end(), [quoted](char c) {
+                           return c > ' ' && c < 127 && c != '"' && (quoted || c != ',');
+                       });
+    return plain ? text : "";
+}
+
 }  // namespace
 
 NodeLink::NodeLink(io::Loop& loop, std::string director, const Settings& settings, const LinkLimits& limits)
@@ -313,7 +323,7 @@
     }
 }
 
-void NodeLink::carry(ServerId server, const NodeAccount::Changes& changes, const std::string& media) {
+void NodeLink::carry(ServerId server, const NodeAccount::Changes& changes, const core::Media& media) {
     for (const Change& c : changes) {
         const auto [session, attempt] = c.key;
         switch (c.what) {
@@ -447,9 +457,17 @@
                     const bool there = answer.is_object() && answer.contains(field);
                     return there && answer.at(field).is_string() ? answer.at(field).get<std::string>() : "";
                 };
-                const std::string media = text("media"), boot = text("boot");
-                if (!media.empty() && !boot.empty() && answer.contains("seq") &&
+                core::Media media;
+                media.url = text("media");
+                const std::string boot = text("boot");
+                if (!media.url.empty() && !boot.empty() && answer.contains("seq") &&
                     answer.at("seq").is_number_unsigned()) {
+                    if (answer.contains("renditions") && answer.at("renditions").is_array())
+                        for (const json& r : answer.at("renditions")) {
+                            if (media.renditions.size() >= settings_.rung_kb.size()) break;
+                            media.renditions.push_back(
+                                {attribute(r, "codecs", true), attribute(r, "resolution", false)});
+                        }
                     const bool known = boot == account.boot();
                     carry(server, account.answered(key, boot, answer.at("seq").get<std::uint64_t>()), media);
                     // Of a life that this stream has not told of: only a new hello can say which is newer.
--- a/src/nodes/link.hpp
+++ b/src/nodes/link.hpp
@@ -89,7 +89,7 @@
     void heard(Node& node);
     void stream_lost(Node& node, bool refused);
     void line(ServerId server, std::string_view text);
-    void carry(ServerId server, const NodeAccount::Changes& changes, const std::string& media = {});
+    void carry(ServerId server, const NodeAccount::Changes& changes, const core::Media& media = {});
     void release(Node& node);
     void consider_write_off(Node& node);
     void command(ServerId server, const char* method, const std::string& target, const std::string& body);
--- a/src/standins/node.cpp
+++ b/src/standins/node.cpp
@@ -29,6 +29,19 @@
         return std::nullopt;
     return std::stoull(text);
 }
+std::optional<std::string> file_text(const std::string& path) {
+    std::ifstream in(path, std::ios::binary);
+    if (!in) return std::nullopt;
+    std::ostringstream all;
+    all << in.rdbuf();
+    return all.str();
+}
+bool ends_with(const std::string& text, std::string_view end) {
+    return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
+}
+// What pages may send and read, as the director's front has it.
+constexpr const char* kAllowed = "CMCD-Request, CMCD-Object, CMCD-Status, CMCD-Session, Range";
+constexpr const char* kExposed = "CMSD-Dynamic, CMSD-Static, X-Ivyfield-Moved";
 http::Response json_response(int status, const json& body) {
     http::Response r;
     r.status = status;
@@ -51,10 +64,41 @@
       number_(number),
       settings_(std::move(settings)),
       tap_(std::move(tap)),
-      address_(settings_.listen) {}
+      address_(settings_.listen) {
+    if (!settings_.media.empty()) read_folder();
+}
 // Connections first, while all that hears of their end is still here.
 Node::~Node() { server_.reset(); }
 
+void Node::read_folder() {
+    const auto read = [](const std::string& path, auto&& parse) {
+        const auto text = file_text(path);
+        if (!text) throw std::runtime_error(path + ": can't be read");
+        try {
+            return parse(*text);
+        } catch (const std::invalid_argument& e) {
+            throw std::runtime_error(path + ": " + e.what());
+        }
+    };
+    for (std::size_t rung = 0; rung < settings_.rung_kb.size(); ++rung) {
+        const std::string path = settings_.media + "/" + std::to_string(rung) + "/index.m3u8";
+        titles_.push_back(read(path, hls::read_media));
+        for (const hls::Segment& s : titles_.back().segments)
+            if (s.uri.find('/') != std::string::npos)
+                throw std::runtime_error(path + ": segment \"" + s.uri + "\" does not lie beside it");
+    }
+    const std::string master = settings_.media + "/master.m3u8";
+    renditions_.resize(settings_.rung_kb.size());
+    if (!file_text(master)) return;
+    for (const hls::Variant& v : read(master, hls::read_master))
+        for (std::size_t rung = 0; rung < renditions_.size(); ++rung)
+            if (v.uri == std::to_string(rung) + "/index.m3u8") renditions_[rung] = v;
+}
+bool Node::live(const std::string& cls) const {
+    return std::any_of(settings_.classes.begin(), settings_.classes.end(),
+                       [&](const NodeClass& c) { return c.name == cls && c.live; });
+}
+
 void Node::tap(Tap t) {
     t.at = loop_.now();
     t.where = settings_.name;
@@ -139,7 +183,9 @@
         return e->respond(r);
     }
     if (parts.size() == 2 && parts[0] == "v1" && parts[1] == "events" && method == "GET") return events(e);
-    if (parts.size() == 4 && parts[0] == "media") return media(e, parts);
+    if (parts.size() == 4 && parts[0] == "media")
+        return http::is_preflight(e->request()) ? e->respond(http::preflight_answer(kAllowed, 7200))
+                                                : media(e, parts);
     e->respond(http::plain(404, "nothing here"));
 }
 
@@ -262,8 +308,7 @@
     fleet::StreamSpec stream;
     stream.kb = kb(from.cls, rung);
     stream.rung = rung;
-    for (const NodeClass& c : settings_.classes)
-        if (c.name == from.cls && c.live) stream.share = from.cls + "/" + from.title;
+    if (live(from.cls)) stream.share = from.cls + "/" + from.title;
     session->stream = fleet_.begin(number_, stream);
     session->idle = loop_.after(settings_.idle, [this, key] { end(key, "ended"); });
     tokens_[session->token] = key;
@@ -287,7 +332,10 @@
     over.status = 200;
     over.answer = "started";
     tap(over);
-    e->respond(json_response(200, {{"media", media_url(token)}, {"boot", boot_}, {"seq", begun}}));
+    json answer = {{"media", media_url(token)}, {"boot", boot_}, {"seq", begun}};
+    for (const hls::Variant& r : renditions_)
+        answer["renditions"].push_back({{"codecs", r.codecs}, {"resolution", r.resolution}});
+    e->respond(json_response(200, answer));
 }
 
 // ---- Commands to playing sessions ----
@@ -498,6 +546,7 @@
         // Moved, or over: back to the director with the same sid.
         http::Response r = http::plain(410, "this session is over here; ask the director again");
         if (moved_.count(parts[1])) r.headers.add("X-Ivyfield-Moved", "1");
+        http::allow_any_origin(r.headers, kExposed);
         return e->respond(r);
     }
     const Key key = it->second;
@@ -512,36 +561,53 @@
     keys.values["etp"] = static_cast<std::int64_t>(std::llround(kb(s.cls, s.rung) * 8 * share));
     if (share < 0.98) keys.values["du"] = true;
     http::Response r;
-    r.headers.add("Access-Control-Allow-Origin", "*");
+    http::allow_any_origin(r.headers, kExposed);
+    if (parts[3] == "index.m3u8" && !titles_.empty()) {
+        r.headers.add("Content-Type", "application/vnd.apple.mpegurl");
+        r.headers.add("CMSD-Dynamic", hints::encode_dynamic({{settings_.name, keys}}));
+        hls::MediaPlaylist shown = titles_.at(*rung);
+        if (live(s.cls)) shown = hls::live_window(shown, now / 1000, 3);
+        else shown.ended = true;
+        r.body = hls::write(shown);
+        return e->respond(r);
+    }
     if (parts[3] == "index.m3u8") {
         const auto first = static_cast<std::uint64_t>(now / settings_.segment);
         r.headers.add("Content-Type", "application/vnd.apple.mpegurl");
         r.headers.add("CMSD-Dynamic", hints::encode_dynamic({{settings_.name, keys}}));
-        std::ostringstream list;
-        list << "#EXTM3U\n#EXT-X-VERSION:6\n#EXT-X-TARGETDURATION:" << std::ceil(settings_.segment / 1000)
-             << "\n#EXT-X-MEDIA-SEQUENCE:" << first << "\n";
+        hls::MediaPlaylist list;
+        list.version = 6;
+        list.sequence = first;
         for (std::uint64_t k = first; k < first + 3; ++k)
-            list << "#EXTINF:" << settings_.segment / 1000 << ",\n" << k << ".ts\n";
-        r.body = list.str();
+            list.segments.push_back({settings_.segment / 1000, std::to_string(k) + ".ts", false});
+        r.body = hls::write(list);
         return e->respond(r);
     }
-    const std::size_t dot = parts[3].find('.');
-    if (!number_of(parts[3].substr(0, dot)) || parts[3].substr(std::min(dot, parts[3].size())) != ".ts")
-        return e->respond(http::plain(404, "no such segment"));
-    if (settings_.media.empty()) {
+    io::Time length = settings_.segment;
+    const char* type = "video/mp2t";
+    if (titles_.empty()) {
+        const std::size_t dot = parts[3].find('.');
+        if (!number_of(parts[3].substr(0, dot)) || parts[3].substr(std::min(dot, parts[3].size())) != ".ts")
+            return e->respond(http::plain(404, "no such segment"));
         const double bytes = kb(s.cls, static_cast<int>(*rung)) * settings_.segment * settings_.byte_part;
         r.body.assign(static_cast<std::size_t>(std::max(1.0, bytes)), 'x');
     } else {
-        std::ifstream in(settings_.media + "/" + parts[2] + "/" + parts[3], std::ios::binary);
-        if (!in) return e->respond(http::plain(404, "no such file in the media folder"));
-        std::ostringstream all;
-        all << in.rdbuf();
-        r.body = all.str();
+        // Only what the playlist names is served: a path from outside opens nothing else.
+        const hls::MediaPlaylist& title = titles_.at(*rung);
+        const auto found = std::find_if(title.segments.begin(), title.segments.end(),
+                                        [&](const hls::Segment& one) { return one.uri == parts[3]; });
+        if (found == title.segments.end() && parts[3] != title.map_uri)
+            return e->respond(http::plain(404, "no such segment"));
+        auto bytes = file_text(settings_.media + "/" + parts[2] + "/" + parts[3]);
+        if (!bytes) return e->respond(http::plain(404, "no such file in the media folder"));
+        r.body = std::move(*bytes);
+        length = found == title.segments.end() ? 0 : found->duration_s * 1000;
+        if (!ends_with(parts[3], ".ts")) type = "video/mp4";
     }
-    r.headers.add("Content-Type", "video/mp2t");
+    r.headers.add("Content-Type", type);
     // What the link does not give in time comes later: a segment takes 1 over its share of its length, and
     // the first byte waits for the excess.
-    const io::Time excess = std::min(20000.0, settings_.segment * (1 / std::max(share, 0.05) - 1));
+    const io::Time excess = std::min(20000.0, length * (1 / std::max(share, 0.05) - 1));
     keys.values["rd"] = static_cast<std::int64_t>(std::llround(excess));
     r.headers.add("CMSD-Dynamic", hints::encode_dynamic({{settings_.name, keys}}));
     if (excess < 1) return e->respond(r);
--- a/src/standins/node.hpp
+++ b/src/standins/node.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "fleet/fleet.hpp"
+#include "hls/playlist.hpp"
 #include "http/server.hpp"
 #include "standins/tap.hpp"
 
@@ -38,6 +39,7 @@
 
 class Node {
   public:
+    // Throws std::runtime_error that names the file, when the folder of media can't be used.
     Node(io::Loop& loop, fleet::Fleet& fleet, int number, NodeSettings settings, TapSink tap);
     ~Node();
     const std::string& name() const { return settings_.name; }
@@ -89,6 +91,8 @@
     void stream_gone(const std::string& director);
     void after(io::Time wait, std::function<void()> task);
     void media(const http::ExchangePtr& e, const std::vector<std::string>& parts);
+    void read_folder();
+    bool live(const std::string& cls) const;
     void events(const http::ExchangePtr& e);
     void tell(const std::string& director, const std::string& line);
     void end(const Key& key, const char* how);
@@ -102,6 +106,8 @@
     int number_;
     NodeSettings settings_;
     TapSink tap_;
+    std::vector<hls::MediaPlaylist> titles_;  // of the folder, by rung
+    std::vector<hls::Variant> renditions_;
     io::Address address_;
     std::unique_ptr<http::Server> server_;
     std::string boot_;
--- a/tests/core/engine_test.cpp
+++ b/tests/core/engine_test.cpp
@@ -86,9 +86,9 @@
     const SessionId id = engine->open(ask("a", 0), &w);
     ASSERT_EQ(nodes.set_ups.size(), 1u);
     EXPECT_TRUE(nodes.set_ups[0].paid);
-    engine->started(id, 0, "http://n/m/");
+    engine->started(id, 0, {"http://n/m/", {}});
     ASSERT_EQ(w.heard, std::vector<Answer>{Answer::plays});
-    EXPECT_EQ(w.where.media, "http://n/m/");
+    EXPECT_EQ(w.where.media.url, "http://n/m/");
     EXPECT_EQ(engine->playing(), 1u);
     world.run_until(20000);
     engine->over(id, 0, Outcome::ended, {});
@@ -102,12 +102,12 @@
     const SessionId id = engine->open(ask("a", 0), &first);
     EXPECT_EQ(engine->open(ask("a", 0), &second), id);
     EXPECT_EQ(nodes.set_ups.size(), 1u);
-    engine->started(id, 0, "http://n/m/");
+    engine->started(id, 0, {"http://n/m/", {}});
     EXPECT_EQ(first.heard.size(), 1u);
     EXPECT_EQ(second.heard.size(), 1u);
     engine->open(ask("a", 0), &third);
     EXPECT_EQ(third.heard, std::vector<Answer>{Answer::plays});
-    EXPECT_EQ(third.where.media, "http://n/m/");
+    EXPECT_EQ(third.where.media.url, "http://n/m/");
     EXPECT_EQ(nodes.set_ups.size(), 1u);
     EXPECT_EQ(engine->counts().taken, 1u);
 }
@@ -155,7 +155,7 @@
     world.run_until(3000);  // the first attempt has timed out
     const std::size_t sent = nodes.set_ups.size();
     EXPECT_GE(sent, 2u);
-    engine->started(id, 0, "http://late/");
+    engine->started(id, 0, {"http://late/", {}});
     engine->over(id, 0, Outcome::error, {});
     EXPECT_TRUE(w.heard.empty() || w.heard.front() != Answer::plays);
     world.run_until(10000);
@@ -176,7 +176,7 @@
     engine->leave(id, &w);
     EXPECT_EQ(engine->counts().abandoned, 1u);
     EXPECT_EQ(engine->open_sessions(), 1u) << "its attempt is still out";
-    engine->started(id, 0, "http://n/m/");
+    engine->started(id, 0, {"http://n/m/", {}});
     EXPECT_TRUE(w.heard.empty());
     engine->over(id, 0, Outcome::ended, {});
     EXPECT_EQ(engine->open_sessions(), 0u);
@@ -187,7 +187,7 @@
     const SessionId id = engine->open(ask("a", 0), &first);
     engine->open(ask("a", 0), &second);
     engine->leave(id, &first);
-    engine->started(id, 0, "http://n/m/");
+    engine->started(id, 0, {"http://n/m/", {}});
     EXPECT_TRUE(first.heard.empty());
     EXPECT_EQ(second.heard.size(), 1u);
 }
@@ -223,7 +223,7 @@
 TEST_F(SeatTest, APlayingSessionLostInSilenceHoldsItsSeat) {
     FakeWaiter first, second, third;
     const SessionId id = engine->open(ask("a", 0), &first);
-    engine->started(id, 0, "http://n/m/");
+    engine->started(id, 0, {"http://n/m/", {}});
     engine->lost(id, 0, Outcome::reset);
     EXPECT_EQ(engine->open_sessions(), 0u);
     engine->open(ask("b", 0), &second);
@@ -245,11 +245,11 @@
 TEST_F(EngineTest, AnEndedSidThatComesBackIsReturning) {
     FakeWaiter w, again;
     const SessionId id = engine->open(ask("a", 0), &w);
-    engine->started(id, 0, "http://n/m/");
+    engine->started(id, 0, {"http://n/m/", {}});
     engine->over(id, 0, Outcome::reset, {});
     const SessionId next = engine->open(ask("a", 0), &again);
     EXPECT_NE(next, id);
-    engine->started(next, 0, "http://n/m2/");
+    engine->started(next, 0, {"http://n/m2/", {}});
     engine->over(next, 0, Outcome::ended, {});
     ASSERT_EQ(ended.size(), 2u);
     EXPECT_FALSE(ended[0].returning);
@@ -273,7 +273,7 @@
             const unsigned how = random() % 8;
             if (how == 7) continue;  // lost
             timers.push_back(loop.after(after, [this, s, how] {
-                if (how < 4) engine->started(s.session, s.attempt, "http://n/");
+                if (how < 4) engine->started(s.session, s.attempt, {"http://n/", {}});
                 else engine->over(s.session, s.attempt, static_cast<Outcome>(how - 3), {});
             }));
             timers.push_back(loop.after(
--- a/tests/fronts/front_test.cpp
+++ b/tests/fronts/front_test.cpp
@@ -298,6 +298,46 @@
     EXPECT_EQ(b->result.response.status, 200);
     EXPECT_NE(media(b->result.response), url);
 }
+TEST_F(PathTest, ABrowsersPreflightIsAnsweredAndTakesNoSession) {
+    const auto a = ask("prep", "sid=\"a\"");
+    run(300);
+    const std::string url = media(a->result.response);
+    const auto preflight = [&](const io::Address& to, const std::string& target, bool asks) {
+        http::Request r;
+        r.method = "OPTIONS", r.target = target;
+        r.headers.add("Origin", "http://player.example");
+        if (asks) {
+            r.headers.add("Access-Control-Request-Method", "GET");
+            r.headers.add("Access-Control-Request-Headers",
+                          "cmcd-object,cmcd-request,cmcd-session,cmcd-status");
+        }
+        http::CallResult out;
+        const auto call = client.send(to, r, {}, [&](http::CallResult c) { out = std::move(c); });
+        run(200);
+        return out.response;
+    };
+    const std::size_t slash = url.find('/', 7);
+    for (const auto& [to, target] :
+         {std::pair<io::Address, std::string>{kDirector, "/v1/watch/t/prep/title/master.m3u8"},
+          {io::Address::parse(url.substr(7, slash - 7)), url.substr(slash)}}) {
+        const auto r = preflight(to, target, true);
+        EXPECT_EQ(r.status, 204) << target;
+        EXPECT_EQ(r.headers.get("Access-Control-Allow-Origin"), "*");
+        for (const char* header : {"CMCD-Request", "CMCD-Object", "CMCD-Status", "CMCD-Session"})
+            EXPECT_TRUE(r.headers.has_token("Access-Control-Allow-Headers", header)) << header;
+        EXPECT_TRUE(r.headers.get("Access-Control-Max-Age"));
+    }
+    EXPECT_EQ(preflight(kDirector, "/v1/watch/t/prep/title/master.m3u8", false).status, 405);
+    EXPECT_EQ(director->engine().counts().taken, 1u);
+    EXPECT_EQ(director->front().counts().preflights, 1u);
+    // An error can be read by the page too.
+    http::Request r;
+    r.target = "/v1/watch/t/none/x/master.m3u8";
+    http::CallResult out;
+    const auto call = client.send(kDirector, r, {}, [&](http::CallResult c) { out = std::move(c); });
+    run(100);
+    EXPECT_EQ(out.response.headers.get("Access-Control-Allow-Origin"), "*");
+}
 TEST_F(PathTest, WhatIsNotThereIs404AndOtherMethods405) {
     for (const auto& [target, status] : std::vector<std::pair<std::string, int>>{
              {"/", 404},
--- /dev/null
+++ b/tests/hls/playlist_test.cpp
@@ -0,0 +1,80 @@
+// Playlists: written ones read back, packagers' ones read, bad ones refused with line and reason.
+#include "hls/playlist.hpp"
+
+#include <gtest/gtest.h>
+
+#include <stdexcept>
+
+using namespace ivyfield::hls;
+
+namespace {
+
+std::string why(const std::string& text, bool master = false) {
+    try {
+        if (master) read_master(text);
+        else read_media(text);
+    } catch (const std::invalid_argument& e) {
+        return e.what();
+    }
+    return "";
+}
+
+TEST(Playlist, APackagersMediaPlaylistIsReadAndWritten) {
+    const auto p = read_media(
+        "#EXTM3U\r\n#EXT-X-VERSION:7\r\n#EXT-X-TARGETDURATION:4\r\n#EXT-X-MEDIA-SEQUENCE:0\r\n"
+        "#EXT-X-MAP:URI=\"init.mp4\"\r\n#EXT-X-SOMETHING-NEW:1\r\n# a remark\r\n"
+        "#EXTINF:4.000000,\r\na.m4s\r\n#EXTINF:3.48,a title, with a comma\r\nb.m4s\r\n#EXT-X-ENDLIST\r\n");
+    ASSERT_EQ(p.segments.size(), 2u);
+    EXPECT_DOUBLE_EQ(p.segments[1].duration_s, 3.48);
+    EXPECT_EQ(p.map_uri, "init.mp4");
+    EXPECT_TRUE(p.ended);
+    const std::string out = write(p);
+    EXPECT_NE(out.find("#EXT-X-TARGETDURATION:4\n"), std::string::npos);
+    EXPECT_EQ(write(read_media(out)), out);
+}
+TEST(Playlist, AMasterPlaylistsCodecsAndSizesAreRead) {
+    const auto v = read_master(
+        "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=1280000,CODECS=\"avc1.4d401f,mp4a.40.2\",RESOLUTION=640x360\n"
+        "0/index.m3u8\n#EXT-X-STREAM-INF:AVERAGE-BANDWIDTH=9,BANDWIDTH=10\n1/index.m3u8\n");
+    ASSERT_EQ(v.size(), 2u);
+    EXPECT_EQ(v[0].codecs, "avc1.4d401f,mp4a.40.2");
+    EXPECT_EQ(v[0].resolution, "640x360");
+    EXPECT_EQ(v[1].average_bandwidth, 9);
+    EXPECT_EQ(read_master(write_master(v))[0].codecs, v[0].codecs);
+}
+TEST(Playlist, BadOnesNameLineAndReason) {
+    EXPECT_EQ(why("hello\n"), "line 1: a playlist begins with #EXTM3U");
+    EXPECT_EQ(why("#EXTM3U\na.ts\n"), "line 2: a segment without #EXTINF before it");
+    EXPECT_EQ(why("#EXTM3U\n#EXTINF:x,\na.ts\n"), "line 2: the duration \"x\" is not a number");
+    EXPECT_EQ(why("#EXTM3U\n#EXTINF:-1,\na.ts\n"), "line 2: the duration \"-1\" is not a number");
+    EXPECT_EQ(why("#EXTM3U\n#EXTINF:0,\na.ts\n"), "line 3: a segment that lasts no time");
+    EXPECT_EQ(why("#EXTM3U\n#EXTINF:2,\n"), "line 2: #EXTINF without a segment after it");
+    EXPECT_EQ(why("#EXTM3U\n"), "line 1: no segments");
+    EXPECT_EQ(why("#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=\"1\n", true).substr(0, 34),
+              "line 2: not a list of attributes: ");
+    EXPECT_EQ(why("#EXTM3U\n#EXT-X-STREAM-INF:CODECS=\"a\"\nx\n", true),
+              "line 2: BANDWIDTH \"\" is not a number");
+}
+TEST(Playlist, ALiveWindowMovesWithTimeAndRepeatsWithADiscontinuity) {
+    MediaPlaylist whole;
+    for (const char* uri : {"a", "b", "c", "d"}) whole.segments.push_back({2, uri, false});
+    const auto names = [](const MediaPlaylist& p) {
+        std::string out;
+        for (const Segment& s : p.segments) out += (s.discontinuity ? "|" : "") + s.uri;
+        return std::to_string(p.sequence) + ":" + out;
+    };
+    EXPECT_EQ(names(live_window(whole, 0, 3)), "0:abc");
+    EXPECT_EQ(names(live_window(whole, 7.9, 3)), "0:abc");
+    EXPECT_EQ(names(live_window(whole, 8, 3)), "1:bcd");
+    EXPECT_EQ(names(live_window(whole, 10.5, 3)), "2:cd|a");
+    EXPECT_EQ(names(live_window(whole, 16, 3)), "5:bcd");
+    std::uint64_t last = 0;
+    for (double at = 0; at < 100; at += 0.5) {
+        const auto p = live_window(whole, at, 3);
+        EXPECT_GE(p.sequence, last);
+        last = p.sequence;
+    }
+    EXPECT_THROW(live_window({}, 1, 3), std::invalid_argument);
+}
+
+}  // namespace
