--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -6,7 +6,12 @@
 for package in $(cat packages.txt); do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing="$missing $package"
 done
-[ -z "$missing" ] && exit 0
+# valijson is headers only, but its package depends on every JSON library that it can adapt, Qt and Poco among them:
+# its files alone are taken, into a folder of the tree.
+if ! [ -f ../build-deps/usr/include/valijson/validator.hpp ] && ! [ -f /usr/include/valijson/validator.hpp ]; then
+    fetch=libvalijson-dev
+fi
+[ -z "$missing" ] && [ -z "${fetch:-}" ] && exit 0
 as_root=
 if [ "$(id -u)" -ne 0 ]; then
     command -v sudo > /dev/null || { echo "these packages are missing and need root:$missing" >&2; exit 1; }
@@ -14,4 +19,8 @@
 fi
 $as_root apt-get update -qq
 # shellcheck disable=SC2086
-DEBIAN_FRONTEND=noninteractive $as_root apt-get install -y -qq --no-install-recommends $missing
+[ -z "$missing" ] || DEBIAN_FRONTEND=noninteractive $as_root apt-get install -y -qq --no-install-recommends $missing
+if [ -n "${fetch:-}" ]; then
+    mkdir -p ../build-deps
+    (cd ../build-deps && apt-get download -qq "$fetch" && dpkg -x "$fetch"_*.deb . && rm -f "$fetch"_*.deb)
+fi
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -174,6 +174,7 @@
     double link_kb = 20000;
     int streams = 100;
     bool cold = false;
+    std::vector<std::string> live;
     CLI::App* node_command = app.add_subcommand(
         "node",
         "Run a stand-in media node; prints what happens to it.\n"
@@ -183,10 +184,16 @@
     node_command->add_option("--link-kb", link_kb, "kB a second")->capture_default_str();
     node_command->add_option("--streams", streams)->capture_default_str();
     node_command->add_option("--rungs-kb", node_settings.rung_kb, "the ladder")->delimiter(',');
-    node_command->add_option("--media", node_settings.media, "serve RUNG/NUMBER.ts of this folder");
+    node_command->add_option(
+        "--media", node_settings.media,
+        "serve this folder: RUNG/index.m3u8 with its segments beside it for each rung, and\n"
+        "master.m3u8 where it tells codecs and sizes");
+    node_command->add_option("--live", live, "classes whose titles are live: a window over the folder")
+        ->delimiter(',');
     node_command->add_flag("--cold", cold);
     node_command->callback([&] {
         node_settings.listen = ivyfield::io::Address::parse(listen);
+        for (const std::string& name : live) node_settings.classes.push_back({name, 1, true});
         code = node(node_settings, link_kb, streams, !cold);
     });
     std::string service = "media";
