A director that starts again takes back what its nodes play for it, or ends it there

After a crash a director knew nothing of the sessions its earlier life had set up: they played on in seats that nobody counted. The whole account of a node names them; src/decide/claims says which are taken back (class, tenant, rung, seats, and whether the viewer came again), the rest is released. A sid that returns finds its session: no second set-up.

--- a/src/cli/director.cpp
+++ b/src/cli/director.cpp
@@ -100,6 +100,7 @@
                  {"asked", 1 + r.joined_requests},
                  {"returning", r.returning},
                  {"moved", r.moved},
+                 {"taken_back", r.taken_back},
                  {"ended_by", r.ended_by}};
     // The phases, in the order of their happening: held, set up, played.
     const Time answered = r.answered_at;
@@ -126,6 +127,8 @@
                   {"failed", c.failed},
                   {"abandoned", c.abandoned},
                   {"late", c.late},
+                  {"taken_back", c.taken_back},
+                  {"not_taken_back", c.not_taken_back},
                   {"attempts", c.attempts},
                   {"retried", c.retries},
                   {"ended", c.ended},
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -6,9 +6,12 @@
 #include <algorithm>
 
 #include "core/outcomes.hpp"
+#include "decide/claims.hpp"
 
 namespace ivyfield::core {
 
+TitleId title_id(const std::string& title_name) { return XXH64(title_name.data(), title_name.size(), 0); }
+
 const char* name(Answer answer) {
     switch (answer) {
         case Answer::plays:
@@ -67,7 +70,8 @@
       director_(settings, seed),
       // Ids of two lives of a director must not meet at a node: 20 bits of them are drawn at
       // each start; 52 in all, so that JSON numbers hold them.
-      last_id_((seed & 0xfffffull) << 32) {}
+      first_id_((seed & 0xfffffull) << 32),
+      last_id_(first_id_) {}
 Engine::~Engine() = default;
 
 // ---- Slips and history ----
@@ -250,6 +254,47 @@
         if (list.kind != ListKind::failed) listed_[entry.id] = entry;
     feed(list);
 }
+bool Engine::found(const FoundPlaying& one) {
+    const Ask& ask = one.ask;
+    const std::string k = key(ask);
+    decide::Found f;
+    f.cls = ask.cls, f.tenant = ask.tenant, f.rung = one.rung;
+    f.own_life = one.session >> 32 == first_id_ >> 32 || sessions_.count(one.session) != 0;
+    f.asked_again = by_key_.count(k) != 0;
+    if (const auto it = held_.find({ask.title, ask.cls}); it != held_.end()) f.held = it->second;
+    if (decide::claim(settings_, f) != decide::Claim::take) {
+        counts_.not_taken_back += 1;
+        return false;
+    }
+    counts_.taken_back += 1;
+    auto owned = std::make_unique<Session>();
+    Session& s = *owned;
+    s.record.id = one.session;
+    s.record.ask = ask;
+    s.record.taken = s.record.answered_at = loop_.now();
+    s.record.answered = true;
+    s.record.answer = Answer::plays;
+    s.record.taken_back = true;
+    s.record.attempts = one.attempt + 1;
+    s.record.server = one.server;
+    s.record.tries.emplace_back(one.server, "out");
+    s.state = State::playing;
+    s.rung = s.rung_sent = one.rung;
+    s.attempt = one.attempt;
+    s.media = one.media;
+    remark(s, "taken back from an earlier life");
+    playing_ += 1;
+    seat(s, 1);
+    sessions_.emplace(one.session, std::move(owned));
+    by_key_.emplace(k, one.session);
+    SessionAdopted as;
+    as.request = request_of(s);
+    as.server = one.server;
+    feed(as);
+    feed(SessionNote{one.session, one.attempt, one.server, NoteKind::rung, static_cast<double>(one.rung)});
+    return true;
+}
+
 // The list knows of a start seconds late, and of a process that died and came back between two looks not at
 // all; the node itself tells at once.
 void Engine::life(ServerId server, Time started) {
@@ -297,7 +342,7 @@
 // The module counts the attempt on, before it hears that it is over for its session: in between the place
 // would be free.
 void Engine::keep_counting(const Session& s) {
-    const Doubt doubt{++last_id_, s.record.tries.back().first};
+    const Doubt doubt{++last_id_, s.record.tries.back().first, {s.record.ask.title, s.record.ask.cls}};
     if (!doubts_.emplace(std::make_pair(s.record.id, s.attempt), doubt).second)
         slip(s, "its attempt is doubtful twice");
     SessionAdopted as;
@@ -308,6 +353,10 @@
     feed(SessionNote{doubt.id, 0, doubt.server, NoteKind::rung, static_cast<double>(s.rung)});
     feed(SessionAbandoned{doubt.id});
 }
+void Engine::seat(const Session& s, int by) {
+    const std::pair<TitleId, int> key{s.record.ask.title, s.record.ask.cls};
+    if ((held_[key] += by) == 0) held_.erase(key);
+}
 void Engine::released(SessionId session, int attempt) {
     const auto it = doubts_.find({session, attempt});
     if (it == doubts_.end()) return;
@@ -316,12 +365,14 @@
     e.server = it->second.server;
     e.outcome = Outcome::ended;
     e.session_over = true;
+    if (--held_[it->second.seat] == 0) held_.erase(it->second.seat);
     doubts_.erase(it);
     feed(e);
 }
 
 void Engine::attempt_over(Session& s, Outcome outcome, const LoadReport& report, bool doubtful) {
     if (doubtful) keep_counting(s);
+    else seat(s, -1);
     const SessionId id = s.record.id;
     const State was = s.state;
     AttemptOver e;
@@ -382,6 +433,7 @@
         slip(s, "a paid set-up is sent again, though an earlier attempt may have run");
     const Time expires = a.expires > 0 ? std::min(a.expires, s.record.deadline) : s.record.deadline;
     s.attempt = s.record.attempts++;
+    seat(s, 1);
     s.state = State::out;
     s.record.tries.emplace_back(a.server, "out");
     s.rung_sent = s.rung;
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -35,6 +35,8 @@
     Ask ask;
     Answer answer = Answer::abandoned;
     bool answered = false, returning = false, moved = false;
+    bool taken_back =
+        false;  // set up by an earlier life of this director; its phases begin at the taking back
     Time taken = 0, first_sent = 0, answered_at = 0, ended = 0, deadline = 0, retry_after = 0;
     int attempts = 0, rung = 0, rungs_set = 0, joined_requests = 0;
     ServerId server = 0;
@@ -45,6 +47,7 @@
 struct Counts {
     std::uint64_t taken = 0, joined = 0, played = 0, refused = 0, failed = 0, abandoned = 0;
     std::uint64_t attempts = 0, retries = 0, late = 0, ended = 0, reset = 0;
+    std::uint64_t taken_back = 0, not_taken_back = 0;
 };
 
 struct EngineLimits {
@@ -77,6 +80,7 @@
     void lost(SessionId session, int attempt, Outcome outcome) override;
     void released(SessionId session, int attempt) override;
     void note(SessionId session, int attempt, ServerId server, NoteKind kind, double value) override;
+    bool found(const FoundPlaying& one) override;
     void life(ServerId server, Time started) override;
     void probed(ServerId server, Outcome outcome, Time waited, const LoadReport& report) override;
 
@@ -92,6 +96,7 @@
     struct Doubt {  // under which id, and where, the module counts it
         SessionId id;
         ServerId server;
+        std::pair<TitleId, int> seat;
     };
     struct Remembered {
         Time until;
@@ -117,6 +122,7 @@
     void answer(Session& s, Answer answer);
     void attempt_over(Session& s, Outcome outcome, const LoadReport& report, bool doubtful);
     void keep_counting(const Session& s);
+    void seat(const Session& s, int by);
     SessionRequest request_of(const Session& s) const;
     void deadline_passed(SessionId id);
     void finish(SessionId id, const char* by);
@@ -130,11 +136,13 @@
     EngineLimits limits_;
     Director director_;
     Counts counts_;
+    const SessionId first_id_;
     SessionId last_id_;
     std::size_t playing_ = 0;
     std::map<SessionId, std::unique_ptr<Session>> sessions_;
     std::map<std::pair<SessionId, int>, Doubt> doubts_;
-    std::map<ServerId, ServerEntry> listed_;  // as the module was told last
+    std::map<std::pair<TitleId, int>, int> held_;  // by title and class: attempts that count, doubtful too
+    std::map<ServerId, ServerEntry> listed_;       // as the module was told last
     std::map<std::string, SessionId> by_key_;
     std::map<std::string, Remembered> remembered_;
     std::deque<std::pair<Time, std::string>> remembered_order_;
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -29,6 +29,19 @@
     std::vector<Rendition> renditions;  // by rung; may be fewer
 };
 
+// One number for one title, alike at each director and after each restart.
+TitleId title_id(const std::string& title_name);
+
+// A session that a node plays and this life of the director knows nothing of.
+struct FoundPlaying {
+    SessionId session = 0;
+    int attempt = 0;
+    ServerId server = 0;
+    int rung = 0;
+    Ask ask;  // cls or tenant -1: the settings name it no more
+    Media media;
+};
+
 struct Placement {
     SessionId session = 0;
     int attempt = 0;
@@ -85,6 +98,8 @@
     // An attempt that was lost or cancelled is known to be over at the node.
     virtual void released(SessionId session, int attempt) = 0;
     virtual void note(SessionId session, int attempt, ServerId server, NoteKind kind, double value) = 0;
+    // True: the session is taken back and counts from now on. False: the node is to end it.
+    virtual bool found(const FoundPlaying& one) = 0;
     // The process that answers at the node, now or when one answers again, has not run since before
     // `started`.
     virtual void life(ServerId server, Time started) = 0;
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -1,8 +1,5 @@
 #include "fronts/http/front.hpp"
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 
@@ -202,7 +199,7 @@
     ask.sid = cmcd.keys.text("sid").value_or("");
     if (ask.sid.empty()) ask.sid = make_sid();
     ask.title_name = title;
-    ask.title = XXH64(title.data(), title.size(), 0);
+    ask.title = core::title_id(title);
     ask.cell_count = config_.copies;
     ask.first_cell = s.cells > 0 ? static_cast<int>(ask.title % static_cast<std::uint64_t>(s.cells)) : 0;
     const ClassSettings& c = s.classes[static_cast<std::size_t>(ask.cls)];
--- a/src/nodes/account.cpp
+++ b/src/nodes/account.cpp
@@ -127,6 +127,16 @@
     return out;
 }
 
+void NodeAccount::claimed(Key key, std::uint64_t begun, bool taken_back) {
+    Entry e;
+    e.phase = taken_back ? Phase::playing : Phase::doubtful;
+    e.boot = boot_, e.begun = begun, e.heard = ++words_;
+    if (!entries_.emplace(key, e).second)
+        throw std::logic_error("session " + std::to_string(key.first) + " is claimed, though it is known");
+    if (taken_back) playing_ += 1;
+    else doubts_.insert(key);
+}
+
 NodeAccount::Changes NodeAccount::complete(std::uint64_t seq) {
     Changes out;
     if (!in_account_) return out;
--- a/src/nodes/account.hpp
+++ b/src/nodes/account.hpp
@@ -64,6 +64,8 @@
     // The first line. `whole`: a list of all that the node holds follows; else the ends since resume_from().
     Changes hello(const std::string& boot, bool whole);
     Changes listed(Key key);  // a line of that list
+    // What is to become of one that was unclaimed: taken back, it plays; else it is doubtful until released.
+    void claimed(Key key, std::uint64_t begun, bool taken_back);
     // All that was promised by hello has been told; the node's events until `seq` are known.
     Changes complete(std::uint64_t seq);
     Changes ended(Key key, Outcome outcome, std::uint64_t seq);
--- a/src/nodes/link.cpp
+++ b/src/nodes/link.cpp
@@ -72,6 +72,37 @@
     return plain ? text : "";
 }
 
+std::vector<core::Rendition> renditions_of(const json& from, std::size_t most) {
+    std::vector<core::Rendition> out;
+    if (!from.contains("renditions") || !from.at("renditions").is_array()) return out;
+    for (const json& r : from.at("renditions"))
+        if (out.size() < most)
+            out.push_back({attribute(r, "codecs", true), attribute(r, "resolution", false)});
+    return out;
+}
+
+core::FoundPlaying found_of(const json& event, ServerId server, const Settings& settings) {
+    const auto index = [](const auto& all, const std::string& name) {
+        for (std::size_t k = 0; k < all.size(); ++k)
+            if (all[k].name == name) return static_cast<int>(k);
+        return -1;
+    };
+    core::FoundPlaying out;
+    out.session = event.at("session").get<SessionId>();
+    out.attempt = event.at("attempt").get<int>();
+    out.server = server;
+    out.rung = event.at("rung").get<int>();
+    out.ask.sid = event.at("sid").get<std::string>();
+    out.ask.title_name = event.at("title").get<std::string>();
+    out.ask.title = core::title_id(out.ask.title_name);
+    out.ask.cls = index(settings.classes, event.at("class").get<std::string>());
+    out.ask.tenant = settings.tenants.empty() ? 0 : index(settings.tenants, event.value("tenant", ""));
+    if (out.ask.cls >= 0) out.ask.top_rung = settings.classes[static_cast<std::size_t>(out.ask.cls)].top;
+    out.media.url = event.at("media").get<std::string>();
+    out.media.renditions = renditions_of(event, settings.rung_kb.size());
+    return out;
+}
+
 }  // namespace
 
 NodeLink::NodeLink(io::Loop& loop, std::string director, const Settings& settings, const LinkLimits& limits)
@@ -290,7 +321,17 @@
             events_->life(server, loop_.now() - std::max(0.0, age));
             carry(server, changes);
         } else if (kind == "plays") {
-            carry(server, node.account.listed(key()));
+            const auto changes = node.account.listed(key());
+            const bool unclaimed = !changes.empty() && changes.front().what == Change::What::unclaimed;
+            if (!unclaimed) return carry(server, changes);
+            const core::FoundPlaying one = found_of(event, server, settings_);
+            const auto begun = event.at("seq").get<std::uint64_t>();
+            const bool taken_back = events_->found(one);
+            counts_.unclaimed += 1;
+            node.account.claimed(key(), begun, taken_back);
+            if (taken_back) return;
+            node.to_release.insert(key());
+            release(node);
         } else if (kind == "account") {
             const auto changes = node.account.complete(event.at("seq").get<std::uint64_t>());
             counts_.put_right += changes.size();
@@ -343,8 +384,7 @@
             case Change::What::call_off:
                 break;  // its release is under way
             case Change::What::unclaimed:
-                counts_.unclaimed += 1;
-                break;
+                break;  // asked of the engine where its line is read
         }
         if (c.what != Change::What::lost && c.what != Change::What::call_off) continue;
         const auto it = nodes_.find(server);
@@ -462,12 +502,7 @@
                 const std::string boot = text("boot");
                 if (!media.url.empty() && !boot.empty() && answer.contains("seq") &&
                     answer.at("seq").is_number_unsigned()) {
-                    if (answer.contains("renditions") && answer.at("renditions").is_array())
-                        for (const json& r : answer.at("renditions")) {
-                            if (media.renditions.size() >= settings_.rung_kb.size()) break;
-                            media.renditions.push_back(
-                                {attribute(r, "codecs", true), attribute(r, "resolution", false)});
-                        }
+                    media.renditions = renditions_of(answer, settings_.rung_kb.size());
                     const bool known = boot == account.boot();
                     carry(server, account.answered(key, boot, answer.at("seq").get<std::uint64_t>()), media);
                     // Of a life that this stream has not told of: only a new hello can say which is newer.
--- a/src/standins/node.cpp
+++ b/src/standins/node.cpp
@@ -94,6 +94,12 @@
         for (std::size_t rung = 0; rung < renditions_.size(); ++rung)
             if (v.uri == std::to_string(rung) + "/index.m3u8") renditions_[rung] = v;
 }
+json Node::renditions() const {
+    json out = json::array();
+    for (const hls::Variant& r : renditions_)
+        out.push_back({{"codecs", r.codecs}, {"resolution", r.resolution}});
+    return out;
+}
 bool Node::live(const std::string& cls) const {
     return std::any_of(settings_.classes.begin(), settings_.classes.end(),
                        [&](const NodeClass& c) { return c.name == cls && c.live; });
@@ -333,8 +339,7 @@
     over.answer = "started";
     tap(over);
     json answer = {{"media", media_url(token)}, {"boot", boot_}, {"seq", begun}};
-    for (const hls::Variant& r : renditions_)
-        answer["renditions"].push_back({{"codecs", r.codecs}, {"resolution", r.resolution}});
+    if (!renditions_.empty()) answer["renditions"] = renditions();
     e->respond(json_response(200, answer));
 }
 
@@ -463,20 +468,20 @@
         for (auto it = sessions_.lower_bound({*director, 0, 0});
              it != sessions_.end() && std::get<0>(it->first) == *director; ++it) {
             const Session& s = *it->second;
-            out += json{{"event", "plays"},
-                        {"boot", boot_},
-                        {"session", std::get<1>(it->first)},
-                        {"attempt", std::get<2>(it->first)},
-                        {"seq", s.begun},
-                        {"sid", s.sid},
-                        {"tenant", s.tenant},
-                        {"class", s.cls},
-                        {"title", s.title},
-                        {"rung", s.rung},
-                        {"paid", s.paid},
-                        {"media", media_url(s.token)}}
-                       .dump(-1, ' ', false, json::error_handler_t::replace) +
-                   "\n";
+            json line{{"event", "plays"},
+                      {"boot", boot_},
+                      {"session", std::get<1>(it->first)},
+                      {"attempt", std::get<2>(it->first)},
+                      {"seq", s.begun},
+                      {"sid", s.sid},
+                      {"tenant", s.tenant},
+                      {"class", s.cls},
+                      {"title", s.title},
+                      {"rung", s.rung},
+                      {"paid", s.paid},
+                      {"media", media_url(s.token)}};
+            if (!renditions_.empty()) line["renditions"] = renditions();
+            out += line.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
         }
     }
     out += json{{"event", "account"}, {"boot", boot_}, {"seq", teller.seq}}.dump() + "\n";
--- a/src/standins/node.hpp
+++ b/src/standins/node.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <set>
 #include <vector>
 
@@ -92,6 +93,7 @@
     void after(io::Time wait, std::function<void()> task);
     void media(const http::ExchangePtr& e, const std::vector<std::string>& parts);
     void read_folder();
+    nlohmann::json renditions() const;
     bool live(const std::string& cls) const;
     void events(const http::ExchangePtr& e);
     void tell(const std::string& director, const std::string& line);
--- a/tests/fronts/front_test.cpp
+++ b/tests/fronts/front_test.cpp
@@ -43,7 +43,7 @@
         run(500);
     }
     void TearDown() override {
-        world.kill(there);
+        if (!there.dead()) world.kill(there);
         director.reset();
     }
     void add_node(int k) {
@@ -298,6 +298,45 @@
     EXPECT_EQ(b->result.response.status, 200);
     EXPECT_NE(media(b->result.response), url);
 }
+TEST_F(PathTest, ADirectorThatStartsAgainTakesItsSessionsBack) {
+    const auto a = ask("check", "sid=\"a\"");
+    run(500);
+    const std::string url = media(a->result.response);
+    world.kill(there);
+    director.reset();
+    run(1000);
+    io::VirtualLoop& again = world.start("director again");
+    director = std::make_unique<cli::DirectorProcess>(again, config::load(config_text()).config, 4);
+    for (int k = 0; k < 4; ++k) fetch(url), run(500);  // its viewer watches on
+    EXPECT_EQ(director->engine().counts().taken_back, 1u);
+    EXPECT_EQ(director->engine().playing(), 1u);
+    // The same sid finds its session as it is: no second set-up of a paid class.
+    const auto b = ask("check", "sid=\"a\"");
+    run(300);
+    EXPECT_EQ(media(b->result.response), url);
+    EXPECT_EQ(count("ran"), 1);
+    run(10000);
+    EXPECT_EQ(director->engine().playing(), 0u) << "its end was heard";
+    EXPECT_EQ(nodes[0]->sessions() + nodes[1]->sessions(), 0u);
+    world.kill(again);
+    director.reset();
+}
+TEST_F(PathTest, ASessionThatMayNotBeTakenBackIsEndedAtItsNode) {
+    const auto a = ask("prep", "sid=\"a\"");
+    run(500);
+    const std::string url = media(a->result.response);
+    world.kill(there);
+    director.reset();
+    auto doc = json::parse(config_text());
+    doc["classes"].erase(1);  // the class is no more
+    io::VirtualLoop& again = world.start("director again");
+    director = std::make_unique<cli::DirectorProcess>(again, config::load(doc.dump()).config, 4);
+    run(1000);
+    EXPECT_EQ(director->engine().counts().not_taken_back, 1u);
+    EXPECT_EQ(fetch(url).response.status, 410);
+    world.kill(again);
+    director.reset();
+}
 TEST_F(PathTest, ABrowsersPreflightIsAnsweredAndTakesNoSession) {
     const auto a = ask("prep", "sid=\"a\"");
     run(300);
