--- a/src/cli/day_command.cpp
+++ b/src/cli/day_command.cpp
@@ -40,6 +40,7 @@
     void kill(int number) override { children_.at(number)->kill(); }
     void stall(int number, bool on) override { children_.at(number)->stall(on); }
     bool running(int number) override { return children_.at(number)->running(); }
+    io::Time slack() const override { return 60; }
 
   private:
     io::EvLoop& loop_;
@@ -72,6 +73,7 @@
     }
     void stall(int number, bool on) override { world_.stall(*running_.at(number).loop, on); }
     bool running(int number) override { return running_.count(number) != 0; }
+    io::Time slack() const override { return 5; }
 
   private:
     struct One {
--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -422,6 +422,7 @@
         terms.classes[one.at("name")] = {one.at("repeat") == "paid", one.value("floor", 0),
                                          one.value("seats", 0), one.at("patience_ms")};
     const json rules = c.value("rules", json::object());
+    terms.network_slack = host_.slack();
     terms.answer_slack = rules.value("answer_slack_ms", 40.0);
     terms.stop_within = rules.value("stop_within_ms", 500.0);
     if (rules.contains("budget")) {
--- a/src/day/day.hpp
+++ b/src/day/day.hpp
@@ -68,6 +68,8 @@
     virtual void kill(int number) = 0;
     virtual void stall(int number, bool on) = 0;
     virtual bool running(int number) = 0;
+    // What sockets, scheduling and the taps' own place may add to a time (audit::Terms::network_slack).
+    virtual io::Time slack() const = 0;
 };
 
 struct Row {
--- a/tests/day/rogue_test.cpp
+++ b/tests/day/rogue_test.cpp
@@ -176,6 +176,7 @@
     void kill(int) override {}
     void stall(int, bool) override {}
     bool running(int) override { return true; }
+    io::Time slack() const override { return 5; }
 };
 
 std::vector<int> broken_by(Slip slip) {
