--- a/src/nodes/account.hpp
+++ b/src/nodes/account.hpp
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -80,8 +81,10 @@
     Changes written_off();
 
     const std::string& boot() const { return boot_; }
-    // What a new stream may ask to be told from; 0: everything.
-    std::uint64_t resume_from() const { return whole_account_ ? seq_ : 0; }
+    // What a new stream may ask to be told from; nothing: it needs the whole account.
+    std::optional<std::uint64_t> resume_from() const {
+        return whole_account_ ? std::optional<std::uint64_t>(seq_) : std::nullopt;
+    }
     // An answer names a life that no hello has confirmed or ended: only a newer hello tells.
     bool needs_hello() const;
     bool empty() const { return entries_.empty(); }
--- a/src/nodes/link.cpp
+++ b/src/nodes/link.cpp
@@ -185,9 +185,9 @@
     http::Request request;
     request.target =
         "/v1/events?director=" + http::percent_encode(director_) + "&protocol=" + std::to_string(kProtocol);
-    if (node.account.resume_from() > 0)
-        request.target += "&boot=" + http::percent_encode(node.account.boot()) +
-                          "&since=" + std::to_string(node.account.resume_from());
+    if (const auto since = node.account.resume_from())
+        request.target +=
+            "&boot=" + http::percent_encode(node.account.boot()) + "&since=" + std::to_string(*since);
     http::CallOptions options;
     options.connect_timeout = limits_.connect_timeout;
     options.timeout = 0;
--- a/tests/nodes/account_test.cpp
+++ b/tests/nodes/account_test.cpp
@@ -160,15 +160,17 @@
     EXPECT_EQ(of(account.listed({9, 0})), (Told{{What::unclaimed, 9}}));
 }
 TEST_F(AccountTest, AStreamIsResumedOnlyAfterAWholeAccountOfThatLife) {
-    EXPECT_EQ(account.resume_from(), 0u);
+    EXPECT_FALSE(account.resume_from());
     account.stream_asked();
     account.hello("A", true);
-    EXPECT_EQ(account.resume_from(), 0u);
-    account.complete(5);
+    EXPECT_FALSE(account.resume_from());
+    account.complete(0);
+    EXPECT_EQ(account.resume_from(), 0u) << "nothing had happened, which is an account too";
+    account.ended({1, 0}, Outcome::ended, 5);
     EXPECT_EQ(account.resume_from(), 5u);
     account.stream_asked();
     account.hello("B", true);
-    EXPECT_EQ(account.resume_from(), 0u);
+    EXPECT_FALSE(account.resume_from());
 }
 TEST_F(AccountTest, WrittenOffEndsDoubtsOnly) {
     live("A");
@@ -214,7 +216,7 @@
         bool whole = false;
     };
     enum class Stream { none, asked, open, broken, refused } stream = Stream::none;
-    std::uint64_t since = 0;
+    std::optional<std::uint64_t> since;
     std::string since_boot;
     std::deque<Line> lines;
     struct Release {
@@ -346,13 +348,13 @@
                     }
                     stream = Stream::open;
                     const std::uint64_t gone = ends.empty() ? seq : ends.front().first - 1;
-                    const bool whole = since == 0 || since_boot != boot() || since < gone;
+                    const bool whole = !since || since_boot != boot() || *since < gone;
                     lines.push_back({Line::hello, {}, boot(), 0, whole});
                     if (whole)
                         for (const auto& [key, begun] : plays) lines.push_back({Line::plays, key, boot()});
                     else
                         for (const auto& [n, key] : ends)
-                            if (n > since) lines.push_back({Line::end, key, boot(), n});
+                            if (n > *since) lines.push_back({Line::end, key, boot(), n});
                     lines.push_back({Line::account, {}, boot(), seq});
                 } else if (stream == Stream::refused) {
                     stream = Stream::none;
