--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -8,12 +8,14 @@
 seeds=${1:-40}
 [ $# -gt 0 ] && shift
 root=$PWD
+sh scripts/install-packages.sh
 [ $# -gt 0 ] || set -- $(ls tests/mutants | sort -n)
 tree=build-mutants/tree
 mkdir -p "$tree"
 fresh() { for part in CMakeLists.txt src include config cmake; do cp -R -p -u "$part" "$tree/"; done; }
 build() {
-    cmake -S "$tree" -B build-mutants/out -DIVYFIELD_PROGRAM=ON -DCMAKE_BUILD_TYPE=Tests -DCMAKE_CXX_FLAGS=-O1 > /dev/null
+    cmake -UVALIJSON_INCLUDE -DCMAKE_INCLUDE_PATH="$root/build-deps/usr/include" \
+        -S "$tree" -B build-mutants/out -DIVYFIELD_PROGRAM=ON -DCMAKE_BUILD_TYPE=Tests -DCMAKE_CXX_FLAGS=-O1 > /dev/null
     cmake --build build-mutants/out -j"$(nproc)" --target ivyfield_program > build-mutants/log 2>&1 ||
         { tail -20 build-mutants/log; echo "$1 does not build"; exit 1; }
 }
