--- a/src/benchlink/codec.cpp
+++ b/src/benchlink/codec.cpp
@@ -4,6 +4,8 @@
 #include <cstring>
 #include <type_traits>
 
+#include "settings/settings.hpp"
+
 namespace ivyfield::benchlink {
 
 namespace {
@@ -163,6 +165,14 @@
     return bytes_.substr(at_ - size, size);
 }
 
+Settings parse_settings(std::string_view text) {
+    try {
+        return settings::parse(text);
+    } catch (const settings::SettingsError& e) {
+        throw WireError(e.what());
+    }
+}
+
 Host::Instance* Host::find(int number) {
     const auto it = instances_.find(number);
     if (it == instances_.end()) throw WireError("event for unknown instance " + std::to_string(number));
--- a/src/benchlink/codec.hpp
+++ b/src/benchlink/codec.hpp
@@ -35,6 +35,7 @@
     std::size_t at_ = 0;
 };
 
+// As settings::parse, with its faults as faults of the wire.
 Settings parse_settings(std::string_view text);
 
 // Hosts the directors of one process. One frame's content in, one reply with its length out.
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -8,6 +8,7 @@
 #include "cli/day_command.hpp"
 #include "cli/director.hpp"
 #include "cli/hints_command.hpp"
+#include "cli/relay.hpp"
 #include "io/ev/child.hpp"
 #include "io/ev/ev_loop.hpp"
 
@@ -37,6 +38,47 @@
     return 0;
 }
 
+// The platform names the director by three variables and nothing else.
+std::string variable(const char* name) {
+    const char* value = std::getenv(name);
+    if (!value || !*value) throw std::runtime_error(std::string(name) + " is not set; see ivyfield relay --help");
+    return value;
+}
+int relay_on_platform() {
+    std::string path;
+    config::RelayConfig config;
+    try {
+        const std::string name = variable("RELAY_NAME");
+        const std::string listen = variable("RELAY_LISTEN");
+        path = variable("RELAY_CONFIG");
+        config = config::read_relay_config(config::read_file(path));
+        config.name = name;
+        try {
+            config.listen = io::Address::parse(listen);
+        } catch (const std::invalid_argument& e) {
+            throw std::runtime_error(std::string("RELAY_LISTEN: ") + e.what());
+        }
+    } catch (const std::exception& e) {
+        std::cerr << "ivyfield relay: " << (path.empty() ? "" : path + ": ") << e.what() << "\n";
+        return 2;
+    }
+    ::signal(SIGPIPE, SIG_IGN);
+    io::raise_file_limit();
+    io::EvLoop loop(config.seed);
+    cli::RelayProcess director(loop, config, "-");
+    loop.on_signal(SIGHUP, [&] {
+        try {
+            director.reload(config::read_relay_config(config::read_file(path)));
+        } catch (const std::exception& e) {
+            director.remark(log::Level::error, "not reloaded", {{"why", e.what()}});
+        }
+    });
+    for (const int number : {SIGINT, SIGTERM})
+        loop.on_signal(number, [&] { director.stop([&] { loop.stop(); }); });
+    loop.run();
+    return 0;
+}
+
 int play(const std::string& path, std::optional<std::uint64_t> seed, bool simulated,
          const cli::DayOptions& options) {
     const day::LoadedDay loaded = day::load_day(config::read_file(path));
@@ -149,6 +191,15 @@
     check_command->add_option("file", file)->required();
     check_command->callback([&] { code = check(file); });
 
+    CLI::App* relay_command = app.add_subcommand(
+        "relay",
+        "Run a director on the platform, in the foreground; told by three variables:\n"
+        "  RELAY_NAME     its name, the same after a restart\n"
+        "  RELAY_LISTEN   ADDRESS:PORT where viewers connect\n"
+        "  RELAY_CONFIG   path of its JSON file: limits, name server, list of the start, settings\n"
+        "SIGHUP reads the file again; SIGTERM answers what was taken and ends.");
+    relay_command->callback([&] { code = relay_on_platform(); });
+
     std::uint64_t seed = 0;
     bool simulated = false;
     ivyfield::cli::DayOptions day_options;
--- /dev/null
+++ b/src/cli/relay.cpp
@@ -0,0 +1,229 @@
+#include "cli/relay.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace ivyfield::cli {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* kService = "_api._tcp.svc.local";
+// At a planned restart requests are sent here for up to 0.6 s more; all that came within this is answered.
+constexpr io::Time kTakeOn = 750;
+constexpr io::Time kLookEvery = 20;
+constexpr io::Time kStatusEvery = 5000;
+
+// Alike at every director: a node is its id, not its address.
+ServerId server_of(const std::string& uid) { return XXH64(uid.data(), uid.size(), 0); }
+
+double rounded(double ms) { return std::round(ms * 10) / 10; }
+
+}  // namespace
+
+RelayProcess::RelayProcess(io::Loop& loop, const config::RelayConfig& config, const std::string& log_path)
+    : loop_(loop),
+      config_(config),
+      log_(log_path, log::Level::info, config.name),
+      nodes_(loop,
+             [&] {
+                 nodes::RelayLimits limits;
+                 limits.connect_timeout = config.settings.connect_timeout;
+                 limits.idle_close = config.idle_close;
+                 limits.connections = config.sockets / 2;
+                 limits.report = config.report;
+                 return limits;
+             }()),
+      engine_(loop, config.settings, config.seed, nodes_, nullptr),
+      front_(
+          loop, config.listen, config.settings, {config.classes, config.tenants},
+          [&] {
+              fronts::RelayFrontLimits limits;
+              limits.connections = config.sockets * 2 / 5;
+              return limits;
+          }(),
+          engine_),
+      list_(loop, config.dns, kService, config.known, [this](const auto& all) { listed(all); }),
+      members_(config.members) {
+    nodes_.attach(&engine_);
+    know();
+    engine_.on_end = [this](const core::SessionRecord& r) { ended(r); };
+    engine_.on_remark = [this](const std::string& text) {
+        remark(log::Level::info, "module", {{"text", text}});
+    };
+    engine_.on_gone = [this](SessionId id, bool moved) { front_.gone(id, moved); };
+    nodes_.on_remark = [this](const std::string& text) {
+        remark(log::Level::warning, "nodes", {{"text", text}});
+    };
+    front_.node_named = [this](const std::string& uid) -> std::optional<ServerId> {
+        if (!members_.count(uid)) return std::nullopt;
+        return server_of(uid);
+    };
+    front_.adopt = [this](const core::Ask& ask, ServerId server) {
+        if (!engine_.adopt(ask, server)) return false;
+        nodes_.adopt(server, *ask.number, 0);
+        return true;
+    };
+    front_.first_set_up = [this] { begin(); };
+    remark(log::Level::info, "started",
+           {{"listen", config.listen.text()}, {"list", config.dns.text()}, {"nodes", members_.size()}});
+    status_timer_ = loop_.after(kStatusEvery, [this] { tell_status(); });
+}
+void RelayProcess::tell_status() {
+    remark(log::Level::info, "status", status());
+    status_timer_ = loop_.after(kStatusEvery, [this] { tell_status(); });
+}
+RelayProcess::~RelayProcess() {
+    engine_.on_end = nullptr;
+    engine_.on_remark = nullptr;
+    engine_.on_gone = nullptr;
+    nodes_.on_remark = nullptr;
+}
+
+void RelayProcess::remark(log::Level level, const char* event, const json& fields) {
+    log_.write(level, loop_.wall_ms(), event, fields);
+}
+
+// The module comes to life with the first set-up, list and set-ups of the start in one moment, as in the
+// simulator: it takes sessions handed over with its birth as a sign that the whole day begins.
+void RelayProcess::begin() {
+    began_ = true;
+    ServerList list;
+    list.kind = ListKind::saved;
+    for (const auto& [uid, member] : members_) list.entries.push_back(entry_of(member));
+    engine_.take_list(list);
+}
+
+ServerEntry RelayProcess::entry_of(const discovery::Member& m) const {
+    const auto index = [](const std::vector<std::string>& names, const std::string& name) {
+        const auto it = std::find(names.begin(), names.end(), name);
+        return it == names.end() ? 0 : static_cast<int>(it - names.begin());
+    };
+    ServerEntry e;
+    e.id = server_of(m.uid);
+    e.position = m.cell;
+    e.weight = m.weight;
+    // From Unix time to the loop's clock.
+    if (m.started_unix_ms > 0)
+        e.last_start = std::max(1.0, loop_.now() - (loop_.wall_ms() - m.started_unix_ms));
+    e.zone = index(config_.zones, m.zone);
+    e.kind = index(config_.kinds, m.kind);
+    e.state = m.state;
+    return e;
+}
+
+void RelayProcess::know() {
+    std::map<ServerId, nodes::RelayNode> known;
+    for (const auto& [uid, m] : members_)
+        known[server_of(uid)] = {uid, m.address, m.state == ServerState::ready};
+    nodes_.know(known);
+}
+
+// A whole list comes; the module hears what has changed, as in the simulator.
+void RelayProcess::listed(const discovery::Members& all) {
+    ServerList changes;
+    changes.kind = ListKind::changes;
+    for (const auto& [uid, m] : all) {
+        const auto it = members_.find(uid);
+        if (it == members_.end() || !(it->second == m)) changes.entries.push_back(entry_of(m));
+    }
+    for (const auto& [uid, m] : members_) {
+        if (all.count(uid)) continue;
+        ServerEntry e = entry_of(m);
+        e.state = ServerState::gone;
+        changes.entries.push_back(e);
+    }
+    members_ = all;
+    know();
+    if (began_ && !changes.entries.empty()) engine_.take_list(changes);
+    remark(log::Level::info, "list", {{"nodes", all.size()}, {"changed", changes.entries.size()}});
+}
+
+void RelayProcess::reload(const config::RelayConfig& config) {
+    config_.dns = config.dns;
+    list_.move_to(config.dns);
+    remark(log::Level::info, "reloaded", {{"list", config.dns.text()}});
+}
+
+void RelayProcess::stop(std::function<void()> done) {
+    if (done_) return;
+    done_ = std::move(done);
+    stop_asked_ = loop_.now();
+    remark(log::Level::info, "stopping", {{"owed", engine_.owed()}});
+    stopping();
+}
+void RelayProcess::stopping() {
+    if (loop_.now() - stop_asked_ >= kTakeOn && engine_.owed() == 0 && front_.drained()) return done_();
+    stop_timer_ = loop_.after(kLookEvery, [this] { stopping(); });
+}
+
+void RelayProcess::ended(const core::SessionRecord& r) {
+    json tries = json::array();
+    for (const auto& [server, how] : r.tries) tries.push_back({{"node", relay::hex(server)}, {"end", how}});
+    const Time answered = r.answered_at;
+    json line = {{"id", relay::hex(r.id)},
+                 {"class", config_.classes[static_cast<std::size_t>(r.ask.cls)]},
+                 {"answer", core::name(r.answer)},
+                 {"tries", tries},
+                 {"rung", r.rung},
+                 {"rungs_set", r.rungs_set},
+                 {"again", r.returning},
+                 {"taken_back", r.taken_back},
+                 {"ended_by", r.ended_by},
+                 {"held_ms", rounded((r.first_sent > 0 ? r.first_sent : answered) - r.taken)}};
+    if (r.first_sent > 0) line["set_up_ms"] = rounded(answered - r.first_sent);
+    if (r.answer == core::Answer::plays) line["played_ms"] = rounded(r.ended - answered);
+    if (r.answer == core::Answer::refused) line["wait_ms"] = rounded(r.retry_after);
+    remark(log::Level::info, "session", line);
+}
+
+json RelayProcess::status() const {
+    const core::Counts& e = engine_.counts();
+    const fronts::RelayFrontCounts& f = front_.counts();
+    const nodes::RelayCounts& n = nodes_.counts();
+    const discovery::SrvCounts& d = list_.counts();
+    return {{"sessions",
+             {{"taken", e.taken},
+              {"played", e.played},
+              {"refused", e.refused},
+              {"failed", e.failed},
+              {"abandoned", e.abandoned},
+              {"late", e.late},
+              {"attempts", e.attempts},
+              {"retried", e.retries},
+              {"lost", e.reset},
+              {"open", engine_.open_sessions()},
+              {"playing", engine_.playing()}}},
+            {"viewers",
+             {{"connections", front_.connections()},
+              {"set_ups", f.set_ups},
+              {"unreadable", f.unreadable},
+              {"bad", f.bad},
+              {"repeated", f.repeated},
+              {"shed", f.shed},
+              {"gave_up", f.gave_up},
+              {"hung_up", f.hung_up},
+              {"releases", f.releases},
+              {"unknown_releases", f.unknown_releases}}},
+            {"nodes",
+             {{"connections", nodes_.connections()},
+              {"dials", n.dials},
+              {"tests", n.tests},
+              {"spoilt", n.spoilt},
+              {"resets", n.resets},
+              {"stray", n.stray},
+              {"vanished", n.vanished}}},
+            {"list",
+             {{"asked", d.asked},
+              {"taken", d.taken},
+              {"bad", d.bad},
+              {"older", d.older},
+              {"unanswered", d.unanswered},
+              {"fault", list_.last_fault()}}}};
+}
+
+}  // namespace ivyfield::cli
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -51,12 +51,14 @@
     SessionRecord record;
     State state = State::held;
     bool may_have_run = false;  // an attempt ended without proof that it never ran
+    bool hung_up = false;       // its viewer has ended it
     bool moving = false;        // the module moves it: its player comes back for a new session
     int rung = 0, rung_sent = 0;
     int attempt = -1;  // the one out or playing
     Media media;
     std::vector<Waiter*> waiters;
     io::Timer deadline, expiry;
+    Time sent = 0;  // its last attempt
     std::deque<std::string> history;
 };
 
@@ -98,6 +100,7 @@
 
 // Fields are cut with a byte that a sid cannot hold, so that no two asks share a key by accident.
 std::string Engine::key(const Ask& ask) const {
+    if (ask.number) return std::to_string(*ask.number);
     return ask.sid + '\n' + std::to_string(ask.tenant) + '\n' + std::to_string(ask.cls) + '\n' +
            ask.title_name;
 }
@@ -116,14 +119,16 @@
         }
         return s.record.id;
     }
-    const SessionId id = ++last_id_;
+    const SessionId id = ask.number.value_or(last_id_ + 1);
+    if (!ask.number) last_id_ = id;
     auto owned = std::make_unique<Session>();
     Session& s = *owned;
     s.record.id = id;
     s.record.ask = ask;
     s.record.taken = loop_.now();
     const ClassSettings& cls = settings_.classes.at(static_cast<std::size_t>(ask.cls));
-    s.record.deadline = loop_.now() + cls.patience;
+    s.record.deadline = ask.number ? ask.deadline : loop_.now() + cls.patience;
+    s.record.returning = ask.again;
     s.rung = cls.floor;
     s.waiters.push_back(waiter);
     if (const auto it = remembered_.find(k); it != remembered_.end() && it->second.until > loop_.now()) {
@@ -132,6 +137,7 @@
     }
     remark(s, "taken");
     counts_.taken += 1;
+    owed_ += 1;
     sessions_.emplace(id, std::move(owned));
     by_key_.emplace(k, id);
     s.deadline =
@@ -146,7 +152,7 @@
     request.id = s.record.id;
     request.cls = ask.cls;
     request.tenant = ask.tenant;
-    request.viewer = XXH64(ask.sid.data(), ask.sid.size(), 0);
+    request.viewer = ask.number ? ask.viewer : XXH64(ask.sid.data(), ask.sid.size(), 0);
     request.title = ask.title;
     request.deadline = s.record.deadline;
     request.first_cell = ask.first_cell;
@@ -171,6 +177,13 @@
     if (s.state == State::held) finish(id, "player");
     else s.state = State::left;
     feed(SessionAbandoned{id});
+    // Where its node can be told, it is: the set-up is of no use to anyone now.
+    if (!nodes_.cancel_is_final()) return;
+    const auto still = sessions_.find(id);
+    if (still == sessions_.end() || still->second->state != State::left) return;
+    Session& out = *still->second;
+    nodes_.cancel(out.record.tries.back().first, id, out.attempt);
+    attempt_over(out, Outcome::cancelled, {}, false);
 }
 
 // The viewer's time is up and the module has not answered: nothing is owed any more. On a director that keeps
@@ -188,6 +201,7 @@
 
 void Engine::answer(Session& s, Answer answer) {
     if (s.record.answered) slip(s, std::string("a second answer: ") + name(answer));
+    owed_ -= 1;
     s.record.answered = true;
     s.record.answer = answer;
     s.record.answered_at = loop_.now();
@@ -219,6 +233,7 @@
 }
 
 void Engine::remember(const Session& s) {
+    if (s.record.ask.number) return;  // its viewer says itself that it comes again
     const std::string k = key(s.record.ask);
     const Time now = loop_.now();
     while (!remembered_order_.empty() &&
@@ -254,6 +269,53 @@
         if (list.kind != ListKind::failed) listed_[entry.id] = entry;
     feed(list);
 }
+Engine::Session& Engine::take_over(SessionId id, const Ask& ask, ServerId server, int attempt, int rung) {
+    auto owned = std::make_unique<Session>();
+    Session& s = *owned;
+    s.record.id = id;
+    s.record.ask = ask;
+    s.record.taken = s.record.answered_at = loop_.now();
+    s.record.answered = true;
+    s.record.answer = Answer::plays;
+    s.record.taken_back = true;
+    s.record.returning = ask.again;
+    s.record.deadline = ask.number ? ask.deadline : 0;
+    s.record.attempts = attempt + 1;
+    s.record.server = server;
+    s.record.tries.emplace_back(server, "out");
+    s.state = State::playing;
+    s.rung = s.rung_sent = rung;
+    s.attempt = attempt;
+    remark(s, "taken back from an earlier life");
+    playing_ += 1;
+    seat(s, 1);
+    sessions_.emplace(id, std::move(owned));
+    return s;
+}
+
+// As the simulator hands one over: as attempt 0, at its class's floor until the node tells its rung.
+bool Engine::adopt(const Ask& ask, ServerId server) {
+    if (sessions_.count(*ask.number)) return false;
+    counts_.taken_back += 1;
+    const ClassSettings& cls = settings_.classes.at(static_cast<std::size_t>(ask.cls));
+    Session& s = take_over(*ask.number, ask, server, 0, cls.floor);
+    SessionAdopted as;
+    as.request = request_of(s);
+    as.server = server;
+    feed(as);
+    return true;
+}
+
+bool Engine::hang_up(SessionId id) {
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end() || it->second->state != State::playing) return false;
+    Session& s = *it->second;
+    remark(s, "ended by its viewer");
+    s.hung_up = true;
+    nodes_.cancel(s.record.server, id, s.attempt);
+    return true;
+}
+
 bool Engine::found(const FoundPlaying& one) {
     const Ask& ask = one.ask;
     const std::string k = key(ask);
@@ -267,25 +329,8 @@
         return false;
     }
     counts_.taken_back += 1;
-    auto owned = std::make_unique<Session>();
-    Session& s = *owned;
-    s.record.id = one.session;
-    s.record.ask = ask;
-    s.record.taken = s.record.answered_at = loop_.now();
-    s.record.answered = true;
-    s.record.answer = Answer::plays;
-    s.record.taken_back = true;
-    s.record.attempts = one.attempt + 1;
-    s.record.server = one.server;
-    s.record.tries.emplace_back(one.server, "out");
-    s.state = State::playing;
-    s.rung = s.rung_sent = one.rung;
-    s.attempt = one.attempt;
+    Session& s = take_over(one.session, ask, one.server, one.attempt, one.rung);
     s.media = one.media;
-    remark(s, "taken back from an earlier life");
-    playing_ += 1;
-    seat(s, 1);
-    sessions_.emplace(one.session, std::move(owned));
     by_key_.emplace(k, one.session);
     SessionAdopted as;
     as.request = request_of(s);
@@ -319,13 +364,16 @@
     const bool wanted = s.state == State::out;
     s.state = State::playing;
     playing_ += 1;
-    const Time waited = loop_.now() - s.record.first_sent;
+    const Time waited = loop_.now() - s.sent;
     if (s.rung_sent != s.rung) {
         s.rung_sent = s.rung;
         nodes_.set_rung(s.record.server, id, attempt, s.rung);
     }
     if (wanted) answer(s, Answer::plays);
-    feed(SessionStarted{id, attempt, s.record.server, waited});
+    const ServerId server = s.record.server;
+    feed(SessionStarted{id, attempt, server, waited});
+    // Nobody is there to end a session whose viewer has left and whose protocol gives it no other holder.
+    if (!wanted && nodes_.cancel_is_final()) nodes_.cancel(server, id, attempt);
 }
 
 void Engine::over(SessionId id, int attempt, Outcome outcome, const LoadReport& report) {
@@ -336,7 +384,7 @@
 void Engine::lost(SessionId id, int attempt, Outcome outcome) {
     const auto it = sessions_.find(id);
     if (it == sessions_.end() || it->second->attempt != attempt) return;  // given up before
-    attempt_over(*it->second, outcome, {}, true);
+    attempt_over(*it->second, outcome, {}, !nodes_.cancel_is_final());
 }
 
 // The module counts the attempt on, before it hears that it is over for its session: in between the place
@@ -380,7 +428,7 @@
     e.attempt = s.attempt;
     e.server = s.record.tries.back().first;
     e.outcome = outcome;
-    e.waited = loop_.now() - s.record.first_sent;
+    e.waited = loop_.now() - s.sent;
     e.session_over = s.record.answered;
     e.report = report;
     s.record.tries.back().second = name(outcome);
@@ -391,6 +439,7 @@
     if (was == State::playing) {
         playing_ -= 1;
         counts_.reset += outcome == Outcome::reset;
+        if (on_gone && !s.hung_up && !s.moving && outcome != Outcome::cancelled) on_gone(id, false);
     }
     if (s.record.answered) finish(id, was == State::playing ? "node" : "player");
     else s.state = State::held;
@@ -435,6 +484,7 @@
     s.attempt = s.record.attempts++;
     seat(s, 1);
     s.state = State::out;
+    s.sent = loop_.now();
     s.record.tries.emplace_back(a.server, "out");
     s.rung_sent = s.rung;
     counts_.attempts += 1;
@@ -504,6 +554,7 @@
     if (s.state != State::playing) slip(s, "moved, though it does not play");
     s.moving = true;
     remark(s, "moved");
+    if (on_gone) on_gone(a.id, true);
     nodes_.move(s.record.server, a.id, s.attempt);
 }
 void Engine::carry(const Probe& a) { nodes_.probe(a.server); }
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -67,11 +67,21 @@
     std::function<void(const SessionRecord&)> on_end;   // each session, once, when it is over
     std::function<void(const std::string&)> on_remark;  // the module's own log lines
 
+    // A session that stands has left its viewer: it is moved, or over though its viewer did not end it. Once.
+    std::function<void(SessionId, bool moved)> on_gone;
+
     // A request for a session. The waiter hears its answer, possibly within this call, unless it leaves
     // first. The same sid for the same title joins the session it has: no second set-up, and the same answer.
     SessionId open(const Ask& ask, Waiter* waiter);
     // The waiter's connection is gone; it hears nothing any more.
     void leave(SessionId id, Waiter* waiter);
+    // A session that plays already and is handed over at the start; false: there is one of that number.
+    bool adopt(const Ask& ask, ServerId server);
+    // Its viewer has ended a session that stands; false: none of that number does.
+    bool hang_up(SessionId id);
+    bool knows(SessionId id) const { return sessions_.count(id) != 0; }
+    // Sessions that are owed an answer.
+    std::size_t owed() const { return owed_; }
     void take_list(const ServerList& list);
 
     // NodeEvents
@@ -127,6 +137,7 @@
     void deadline_passed(SessionId id);
     void finish(SessionId id, const char* by);
     std::string key(const Ask& ask) const;
+    Session& take_over(SessionId id, const Ask& ask, ServerId server, int attempt, int rung);
     void remember(const Session& s);
 
     io::Loop& loop_;
@@ -138,7 +149,7 @@
     Counts counts_;
     const SessionId first_id_;
     SessionId last_id_;
-    std::size_t playing_ = 0;
+    std::size_t playing_ = 0, owed_ = 0;
     std::map<SessionId, std::unique_ptr<Session>> sessions_;
     std::map<std::pair<SessionId, int>, Doubt> doubts_;
     std::map<std::pair<TitleId, int>, int> held_;  // by title and class: attempts that count, doubtful too
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,11 +13,19 @@
 
 // What a viewer asks for. Indices into Settings; names travel beside them, for nodes and logs only.
 struct Ask {
+    std::string cls_name;
     std::string sid;  // the player's own id of its session; stays over all its tries
     std::string title_name;
     int cls = 0, tenant = 0;
     TitleId title = 0;
     int first_cell = 0, cell_count = 0, top_rung = 0;
+    // Of protocols that number their sessions themselves: then each request is a session of its own, under
+    // that number, and says itself who asks, until when, and whether it comes again.
+    std::optional<SessionId> number;
+    std::uint64_t viewer = 0;
+    Time deadline = 0;
+    bool again = false;
+    std::string description;  // opaque, for the node
 };
 
 // What a node plays at a rung, where it says so: as HLS tells it to players.
@@ -27,6 +36,7 @@
 struct Media {
     std::string url;                    // absolute, ends with '/'
     std::vector<Rendition> renditions;  // by rung; may be fewer
+    std::string description;            // opaque, for the viewer
 };
 
 // One number for one title, alike at each director and after each restart.
@@ -84,6 +94,9 @@
     // known not to be. If it plays, over() tells.
     virtual void cancel(ServerId server, SessionId session, int attempt) = 0;
     virtual void probe(ServerId server) = 0;  // ends in probed()
+    // Whether a cancelled attempt that was out is over at its node with the call: then released() never comes
+    // and nothing of it is in doubt.
+    virtual bool cancel_is_final() const { return false; }
 };
 
 // What nodes tell the engine.
--- /dev/null
+++ b/src/fronts/relay/front.cpp
@@ -0,0 +1,409 @@
+#include "fronts/relay/front.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace ivyfield::fronts {
+
+using relay::Type;
+using relay::ViewerMessage;
+
+namespace {
+
+// Causes of our own releases: the first tells that trying again is harmless, the others are failures.
+constexpr int kRefused = relay::kCauseFull, kFailed = relay::kCauseError, kUnusable = 100, kOver = 16;
+constexpr io::Time kSweep = 250;
+
+std::optional<int> whole(const std::string& text, int least, int most) {
+    const auto value = relay::read_number(text);
+    if (!value || *value != std::floor(*value) || *value < least || *value > most) return std::nullopt;
+    return static_cast<int>(*value);
+}
+
+}  // namespace
+
+struct RelayFront::Connection : io::StreamHandler {
+    RelayFront& owner;
+    std::unique_ptr<io::Stream> stream;
+    relay::LineDecoder decoder;
+    std::set<SessionId> open;      // set-ups owed an answer on it
+    std::set<SessionId> standing;  // sessions that were set up on it and stand
+    bool carried = false;          // a set-up that could be used has come on it
+    bool ending = false;           // only drained and closed from here on
+    bool gone = false;
+    io::Time used = 0, ended = 0;
+
+    explicit Connection(RelayFront& o) : owner(o) {}
+    void on_data(std::string_view bytes) override { owner.heard(*this, bytes); }
+    // Viewers close as a whole: one that sends no more waits for nothing more.
+    void on_end() override {
+        owner.leave_all(*this);
+        owner.drop(*this);
+    }
+    void on_drained() override {}
+    void on_closed(io::Closing) override {
+        owner.leave_all(*this);
+        owner.drop(*this);
+    }
+};
+
+struct RelayFront::Request : core::Waiter {
+    RelayFront& owner;
+    SessionId session;
+    std::string id;  // as the viewer wrote it
+    Connection* connection;
+
+    Request(RelayFront& o, SessionId s, std::string text, Connection* c)
+        : owner(o), session(s), id(std::move(text)), connection(c) {}
+    void plays(const core::Placement& where) override {
+        ViewerMessage m;
+        m.type = Type::answer, m.id = id, m.sdp = where.media.description;
+        Connection* c = connection;
+        owner.answered(session);
+        owner.standing_[session] = c;
+        c->standing.insert(session);
+        owner.send(*c, m);
+    }
+    void refused(Time retry_after) override {
+        Connection* c = connection;
+        const std::string text = id;
+        owner.answered(session);
+        owner.release(*c, text, kRefused, retry_after);
+    }
+    void failed() override {
+        Connection* c = connection;
+        const std::string text = id;
+        owner.answered(session);
+        owner.release(*c, text, kFailed);
+    }
+};
+
+RelayFront::RelayFront(io::Loop& loop, const io::Address& listen, const Settings& settings,
+                       const RelayNames& names, const RelayFrontLimits& limits, core::Engine& engine)
+    : loop_(loop), settings_(settings), names_(names), limits_(limits), engine_(engine) {
+    listener_ = loop.listen(listen, [this](auto stream) { accepted(std::move(stream)); });
+    sweep_ = loop_.after(kSweep, [this] { sweep(); });
+}
+RelayFront::~RelayFront() {
+    for (auto& [id, request] : requests_) engine_.leave(id, request.get());
+}
+
+// ---- Connections ----
+
+void RelayFront::accepted(std::unique_ptr<io::Stream> stream) {
+    make_room();
+    counts_.connections += 1;
+    auto owned = std::make_unique<Connection>(*this);
+    owned->stream = std::move(stream);
+    owned->used = loop_.now();
+    owned->stream->set_handler(owned.get());
+    connections_.push_back(std::move(owned));
+}
+
+// Out of room, the connection that has been idle longest gives way: those that never carried a set-up first.
+void RelayFront::make_room() {
+    if (connections_.size() < limits_.connections) return;
+    Connection* worst = nullptr;
+    for (const auto& c : connections_) {
+        if (!c->open.empty()) continue;
+        if (!worst || std::make_pair(c->carried, c->used) < std::make_pair(worst->carried, worst->used))
+            worst = c.get();
+    }
+    if (!worst) worst = connections_.front().get();
+    counts_.shed += 1;
+    leave_all(*worst);
+    drop(*worst);
+}
+
+void RelayFront::drop(Connection& c) {
+    if (c.gone) return;
+    c.gone = true;
+    counts_.closed += 1;
+    for (const SessionId id : c.standing)
+        if (const auto it = standing_.find(id); it != standing_.end()) it->second = nullptr;
+    const auto it = std::find_if(connections_.begin(), connections_.end(),
+                                 [&](const auto& one) { return one.get() == &c; });
+    c.stream->set_handler(nullptr);
+    dead_.push_back(std::move(*it));
+    connections_.erase(it);
+    if (burying_) return;
+    burying_ = true;
+    loop_.post([this] {
+        burying_ = false;
+        dead_.clear();
+        over_.clear();
+    });
+}
+
+// Sends what is written, then our end; what still comes is read and thrown away for a while: closing with
+// input unread would reset the connection and take the last answer away.
+void RelayFront::close(Connection& c) {
+    if (c.gone || c.ending) return;
+    leave_all(c);
+    c.ending = true;
+    c.ended = loop_.now();
+    c.stream->end();
+}
+
+void RelayFront::leave_all(Connection& c) {
+    const auto open = std::move(c.open);
+    c.open.clear();
+    for (const SessionId id : open) {
+        const auto it = requests_.find(id);
+        Request* request = it->second.get();
+        counts_.gave_up += 1;
+        engine_.leave(id, request);
+        answered(id);
+    }
+}
+
+void RelayFront::sweep() {
+    std::vector<Connection*> old;
+    for (const auto& c : connections_) {
+        if (c->ending ? loop_.now() - c->ended > limits_.linger
+                      : c->open.empty() && loop_.now() - c->used > limits_.idle)
+            old.push_back(c.get());
+    }
+    for (Connection* c : old) {
+        if (c->ending) drop(*c);
+        else close(*c);
+    }
+    sweep_ = loop_.after(kSweep, [this] { sweep(); });
+}
+
+bool RelayFront::drained() const {
+    return std::all_of(connections_.begin(), connections_.end(),
+                       [](const auto& c) { return c->stream->pending() == 0; });
+}
+
+void RelayFront::send(Connection& c, const ViewerMessage& m) {
+    if (c.gone) return;
+    c.used = loop_.now();
+    c.stream->write(relay::write_line(m));
+    if (c.stream->pending() > limits_.unread_output) {
+        leave_all(c);
+        drop(c);
+    }
+}
+void RelayFront::release(Connection& c, const std::string& id, int cause, Time wait) {
+    ViewerMessage m;
+    m.type = Type::release, m.id = id, m.cause = cause;
+    if (wait >= 1) m.fields["wait"] = std::to_string(std::llround(wait));
+    send(c, m);
+}
+
+// ---- What viewers say ----
+
+void RelayFront::heard(Connection& c, std::string_view bytes) {
+    if (c.ending) return;
+    c.used = loop_.now();
+    while (!c.gone && !c.ending && !bytes.empty()) {
+        const auto line = c.decoder.next(bytes);
+        if (c.decoder.too_long()) {
+            counts_.unreadable += 1;
+            return close(c);
+        }
+        if (!line) return;
+        take(c, *line);
+    }
+}
+
+void RelayFront::take(Connection& c, const std::string& line) {
+    const relay::Line read = relay::read_line(line);
+    if (const auto* fault = std::get_if<relay::Fault>(&read)) {
+        counts_.unreadable += 1;
+        // One that names a session is told; what it belongs to is not known otherwise.
+        if (const auto number = relay::read_hex(fault->id); number && !requests_.count(*number))
+            return release(c, fault->id, kUnusable);
+        return close(c);
+    }
+    const auto& m = std::get<ViewerMessage>(read);
+    switch (m.type) {
+        case Type::setup:
+            return take_set_up(c, m);
+        case Type::release:
+            return take_release(c, m);
+        case Type::ping: {
+            counts_.tests += 1;
+            ViewerMessage pong;
+            pong.type = Type::pong, pong.id = m.id, pong.cause = relay::kCausePassed;
+            return send(c, pong);
+        }
+        case Type::released:
+        case Type::progress:
+            return;
+        default:
+            counts_.bad += 1;
+            return close(c);
+    }
+}
+
+// What is wrong with the set-up, or nothing.
+std::string RelayFront::read_ask(const ViewerMessage& m, core::Ask& ask, std::string& at) const {
+    const auto field = [&](const char* name) {
+        const auto it = m.fields.find(name);
+        return it == m.fields.end() ? std::string() : it->second;
+    };
+    const auto index = [](const std::vector<std::string>& names, const std::string& name) {
+        const auto it = std::find(names.begin(), names.end(), name);
+        return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+    };
+    ask.number = m.session;
+    ask.cls_name = field("class");
+    ask.cls = index(names_.classes, ask.cls_name);
+    if (ask.cls < 0) return "no such class";
+    if (!names_.tenants.empty()) {
+        ask.tenant = index(names_.tenants, field("tenant"));
+        if (ask.tenant < 0) return "no such tenant";
+    }
+    const Time patience = settings_.classes[static_cast<std::size_t>(ask.cls)].patience;
+    const auto left = relay::read_number(field("left"));
+    if (!left || *left <= 0 || *left > patience + 1) return "left is no time to wait";
+    ask.deadline = loop_.now() + *left;
+    ask.title_name = field("key");
+    const auto title = relay::read_hex(ask.title_name);
+    if (!title) return "key is no title";
+    ask.title = *title;
+    if (!m.sdp || m.sdp->empty()) return "no description";
+    ask.description = *m.sdp;
+    const auto extras = relay::read_pairs(field("extras"));
+    if (!extras) return "extras can't be read";
+    const auto extra = [&](const char* name) {
+        const auto it = extras->find(name);
+        return it == extras->end() ? std::string() : it->second;
+    };
+    // Where titles are not held by all nodes it must say which cells hold this one.
+    const auto home = whole(extra("home"), 0, 65535), copies = whole(extra("copies"), 0, 65535);
+    const auto top = whole(extra("top"), 0, static_cast<int>(settings_.rung_kb.size()) - 1);
+    if (!home || !copies || !top) return "home, copies or top is no number in range";
+    if (settings_.cells > 0 && (*home >= settings_.cells || *copies > settings_.cells))
+        return "home or copies is out of range";
+    ask.first_cell = *home, ask.cell_count = *copies, ask.top_rung = *top;
+    const auto viewer = relay::read_hex(extra("viewer"));
+    if (!viewer) return "viewer can't be read";
+    ask.viewer = *viewer;
+    ask.again = extra("again") == "1";
+    at = extra("at");
+    return "";
+}
+
+void RelayFront::take_set_up(Connection& c, const ViewerMessage& m) {
+    counts_.set_ups += 1;
+    if (const auto it = requests_.find(m.session); it != requests_.end()) {
+        // Two requests under one number. On one connection an answer to either would be taken for both: it
+        // ends, and with it what is open on it. From another connection the second is turned away there.
+        counts_.repeated += 1;
+        if (it->second->connection == &c) return close(c);
+        return release(c, m.id, kUnusable);
+    }
+    core::Ask ask;
+    std::string at;
+    const std::string why = read_ask(m, ask, at);
+    if (!why.empty() || c.open.size() >= limits_.open_a_connection) {
+        counts_.bad += 1;
+        return release(c, m.id, kUnusable);
+    }
+    if (first_set_up && !began_) first_set_up();
+    began_ = true;
+    c.carried = true;
+    if (!kept_.empty()) flush_kept(c);
+    if (!at.empty()) {
+        const auto server = node_named ? node_named(at) : std::nullopt;
+        // It may name what we hold already.
+        if (engine_.knows(m.session)) return;
+        if (!server) {
+            counts_.bad += 1;
+            return release(c, m.id, kUnusable);
+        }
+        counts_.adopted += 1;
+        standing_[m.session] = &c;
+        c.standing.insert(m.session);
+        adopt(ask, *server);
+        return;
+    }
+    if (engine_.knows(m.session)) {  // it stands: its number is taken
+        counts_.repeated += 1;
+        return release(c, m.id, kUnusable);
+    }
+    auto owned = std::make_unique<Request>(*this, m.session, m.id, &c);
+    Request* request = owned.get();
+    requests_.emplace(m.session, std::move(owned));
+    c.open.insert(m.session);
+    engine_.open(ask, request);
+}
+
+// The request has had its answer, or nobody waits for it any more.
+void RelayFront::answered(SessionId id) {
+    const auto it = requests_.find(id);
+    if (it == requests_.end()) return;
+    it->second->connection->open.erase(id);
+    over_.push_back(std::move(it->second));  // it may be telling us this very moment
+    requests_.erase(it);
+    if (over_.size() == 1) loop_.post([this] { over_.clear(); });
+}
+
+void RelayFront::take_release(Connection& c, const ViewerMessage& m) {
+    if (const auto it = requests_.find(m.session); it != requests_.end()) {
+        // Only its own viewer gives a set-up up.
+        if (it->second->connection != &c) return close(c);
+        counts_.gave_up += 1;
+        Request* request = it->second.get();
+        engine_.leave(m.session, request);
+        answered(m.session);
+        return;
+    }
+    ViewerMessage heard;
+    heard.type = Type::released, heard.id = m.id;
+    if (engine_.hang_up(m.session)) {
+        counts_.hung_up += 1;
+        if (const auto it = standing_.find(m.session); it != standing_.end()) {
+            if (it->second) it->second->standing.erase(m.session);
+            standing_.erase(it);
+        }
+        return send(c, heard);
+    }
+    // It crossed our answer, or names nothing that ever was: a connection that carried no session before has
+    // no other use then.
+    counts_.unknown_releases += 1;
+    send(c, heard);
+    if (!c.gone && !c.carried) close(c);
+}
+
+// ---- What ends ----
+
+void RelayFront::gone(SessionId id, bool moved) {
+    Connection* c = nullptr;
+    if (const auto it = standing_.find(id); it != standing_.end()) {
+        c = it->second;
+        if (c) c->standing.erase(id);
+        standing_.erase(it);
+    }
+    if (!c || c->gone || c->ending) {
+        // Its own connection is gone: another of the viewers', the one heard last.
+        c = nullptr;
+        for (const auto& one : connections_)
+            if (one->carried && !one->ending && (!c || one->used > c->used)) c = one.get();
+    }
+    if (!c) {
+        if (kept_.size() >= limits_.kept_releases) kept_.pop_front();
+        kept_.emplace_back(id, moved);
+        return;
+    }
+    ViewerMessage m;
+    m.type = moved ? Type::move : Type::release;
+    m.id = relay::hex(id);
+    if (!moved) m.cause = kOver;
+    counts_.releases += 1;
+    send(*c, m);
+}
+void RelayFront::flush_kept(Connection& c) {
+    const auto kept = std::move(kept_);
+    kept_.clear();
+    for (const auto& [id, moved] : kept) {
+        standing_[id] = &c;
+        gone(id, moved);
+    }
+}
+
+}  // namespace ivyfield::fronts
--- /dev/null
+++ b/src/fronts/relay/front.hpp
@@ -0,0 +1,102 @@
+// Viewers over the platform's JSON lines. One connection carries many sessions; a session that stands belongs
+// to none. Each set-up is answered once, on the connection that it came by; what can't be read, or asks for
+// what the settings do not have, is answered with a release or the end of its connection. Nothing is decided
+// here: which set-up is placed, refused or held is the module's word.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+
+#include "core/engine.hpp"
+#include "io/loop.hpp"
+#include "relay/message.hpp"
+
+namespace ivyfield::fronts {
+
+struct RelayFrontLimits {
+    std::size_t connections = 256;             // of viewers
+    std::size_t open_a_connection = 256;       // set-ups owed an answer
+    std::size_t unread_output = 256 * 1024;    // of one connection
+    std::size_t kept_releases = 4096;          // that wait for a connection
+    io::Time linger = 500;                     // a closed connection is still read, so that its last word arrives
+    io::Time idle = 10000;                     // without a session
+};
+
+struct RelayFrontCounts {
+    std::uint64_t connections = 0, set_ups = 0, unreadable = 0, bad = 0, repeated = 0, gave_up = 0, closed = 0,
+                  tests = 0, adopted = 0, hung_up = 0, releases = 0, unknown_releases = 0, shed = 0;
+};
+
+struct RelayNames {
+    std::vector<std::string> classes, tenants;
+};
+
+class RelayFront {
+  public:
+    // Throws std::runtime_error when the address can't be had.
+    RelayFront(io::Loop& loop, const io::Address& listen, const Settings& settings, const RelayNames& names,
+               const RelayFrontLimits& limits, core::Engine& engine);
+    ~RelayFront();
+    RelayFront(const RelayFront&) = delete;
+    RelayFront& operator=(const RelayFront&) = delete;
+
+    // The media node of that name, where the list has it.
+    std::function<std::optional<ServerId>(const std::string& uid)> node_named;
+    // A session that plays already is handed over: to the engine, and to the node's link.
+    std::function<bool(const core::Ask& ask, ServerId server)> adopt;
+    // Before the first set-up is passed on.
+    std::function<void()> first_set_up;
+
+    // A session that stands has ended or is moved; its viewer is told.
+    void gone(SessionId id, bool moved);
+    // No new connections any more.
+    void stop_listening() { listener_.reset(); }
+    std::size_t connections() const { return connections_.size(); }
+    std::size_t open() const { return requests_.size(); }
+    bool drained() const;
+    const RelayFrontCounts& counts() const { return counts_; }
+    io::Address address() const { return listener_->address(); }
+
+  private:
+    struct Connection;
+    struct Request;
+
+    void accepted(std::unique_ptr<io::Stream> stream);
+    void heard(Connection& c, std::string_view bytes);
+    void take(Connection& c, const std::string& line);
+    void take_set_up(Connection& c, const relay::ViewerMessage& m);
+    void take_release(Connection& c, const relay::ViewerMessage& m);
+    std::string read_ask(const relay::ViewerMessage& m, core::Ask& ask, std::string& at) const;
+    void send(Connection& c, const relay::ViewerMessage& m);
+    void release(Connection& c, const std::string& id, int cause, Time wait = 0);
+    void answered(SessionId id);
+    void leave_all(Connection& c);
+    void finish(Connection& c);
+    void close(Connection& c);
+    void drop(Connection& c);
+    void make_room();
+    void sweep();
+    void flush_kept(Connection& c);
+
+    io::Loop& loop_;
+    Settings settings_;
+    RelayNames names_;
+    RelayFrontLimits limits_;
+    core::Engine& engine_;
+    bool began_ = false;
+    std::list<std::unique_ptr<Connection>> connections_;  // oldest first
+    std::map<SessionId, std::unique_ptr<Request>> requests_;
+    std::map<SessionId, Connection*> standing_;  // the connection of its set-up, while that lasts; else null
+    std::deque<std::pair<SessionId, bool>> kept_;  // ended or moved, to be told on the next connection
+    std::vector<std::unique_ptr<Connection>> dead_;
+    std::vector<std::unique_ptr<Request>> over_;
+    bool burying_ = false;
+    RelayFrontCounts counts_;
+    io::Timer sweep_;
+    std::unique_ptr<io::Listener> listener_;
+};
+
+}  // namespace ivyfield::fronts
--- a/src/io/ev/ev_loop.cpp
+++ b/src/io/ev/ev_loop.cpp
@@ -24,6 +24,7 @@
 
 // Accepted and read in one go at most so much, so that one busy peer does not keep the others waiting.
 constexpr int kAcceptsATurn = 64;
+constexpr int kDatagramsATurn = 16;
 constexpr std::size_t kReadATurn = 64 * 1024;
 // After running out of descriptors the listener rests, else it would spin on the same connection.
 constexpr double kAcceptRest_s = 0.1;
@@ -427,6 +428,52 @@
     Address address_;
 };
 
+class EvDatagram : public Datagram {
+  public:
+    EvDatagram(Impl* loop, int fd, Heard heard) : loop_(loop), fd_(fd), heard_(std::move(heard)) {
+        ev_io_init(&io_, on_io, fd, EV_READ);
+        io_.data = this;
+        ev_io_start(loop_->ev, &io_);
+    }
+    ~EvDatagram() override {
+        if (gone_) *gone_ = true;
+        ev_io_stop(loop_->ev, &io_);
+        ::close(fd_);
+    }
+    void send(const Address& to, std::string_view bytes) override {
+        const SocketAddress a = to_system(to);
+        if (a.size == 0) return;
+        if (::sendto(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL, a.get(), a.size) < 0) return;
+    }
+    Address address() const override {
+        SocketAddress a;
+        a.size = sizeof a.storage;
+        return ::getsockname(fd_, a.get(), &a.size) == 0 ? from_system(a) : Address{};
+    }
+
+  private:
+    static void on_io(struct ev_loop*, ev_io* w, int) {
+        static thread_local std::array<char, kReadATurn> buffer;
+        auto* self = static_cast<EvDatagram*>(w->data);
+        bool gone = false;
+        self->gone_ = &gone;
+        for (int k = 0; k < kDatagramsATurn && !gone; ++k) {
+            SocketAddress from;
+            from.size = sizeof from.storage;
+            const ssize_t n = ::recvfrom(self->fd_, buffer.data(), buffer.size(), 0, from.get(), &from.size);
+            if (n < 0) break;  // nothing more, or an error of one sent before: both are over with it
+            self->heard_(from_system(from), {buffer.data(), static_cast<std::size_t>(n)});
+        }
+        if (!gone) self->gone_ = nullptr;
+    }
+
+    Impl* loop_;
+    int fd_;
+    Heard heard_;
+    ev_io io_{};
+    bool* gone_ = nullptr;
+};
+
 }  // namespace
 
 EvLoop::EvLoop(std::uint64_t seed) : impl_(std::make_unique<Impl>(seed)) {}
@@ -490,6 +537,22 @@
     return stream;
 }
 
+std::unique_ptr<Datagram> EvLoop::datagram(const Address& local, Datagram::Heard heard) {
+    const auto fail = [&](const char* what) {
+        return std::runtime_error("no datagrams at " + local.text() + ": " + what);
+    };
+    const SocketAddress a = to_system(local);
+    if (a.size == 0) throw fail("not a numeric address");
+    const int fd = ::socket(a.storage.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) throw fail(std::strerror(errno));
+    if (::bind(fd, a.get(), a.size) != 0) {
+        const int error = errno;
+        ::close(fd);
+        throw fail(std::strerror(error));
+    }
+    return std::make_unique<EvDatagram>(impl_.get(), fd, std::move(heard));
+}
+
 std::uint64_t system_seed() {
     std::random_device source;
     return static_cast<std::uint64_t>(source()) << 32 | source();
--- a/src/io/loop.hpp
+++ b/src/io/loop.hpp
@@ -85,6 +85,15 @@
     virtual void resume() = 0;
 };
 
+// One socket for datagrams. What can't be sent is lost without a word, as on any network.
+class Datagram {
+  public:
+    using Heard = std::function<void(const Address& from, std::string_view bytes)>;  // bytes: during the call
+    virtual ~Datagram() = default;
+    virtual void send(const Address& to, std::string_view bytes) = 0;
+    virtual Address address() const = 0;
+};
+
 class Loop;
 
 // A timer that is called off when it is destroyed or set anew.
@@ -123,6 +132,9 @@
     // Never fails in the call: what goes wrong comes as on_closed, later. Bytes may be written at once.
     virtual std::unique_ptr<Stream> dial(const Address& address, Time timeout, StreamHandler* handler) = 0;
 
+    // Port 0: any that is free. Throws std::runtime_error that names the address when it can't be had.
+    virtual std::unique_ptr<Datagram> datagram(const Address& local, Datagram::Heard heard) = 0;
+
     // The one source of randomness, seeded when the loop is made.
     virtual std::mt19937_64& random() = 0;
 
--- a/src/io/virtual/world.cpp
+++ b/src/io/virtual/world.cpp
@@ -180,6 +180,38 @@
     std::vector<Loop::Task> waiting_;
 };
 
+class VirtualDatagram : public Datagram {
+  public:
+    VirtualDatagram(VirtualLoop& loop, Address address, Heard heard)
+        : loop_(loop), address_(std::move(address)), heard_(std::make_shared<Heard>(std::move(heard))) {
+        loop_.world_.datagrams_[address_] = this;
+    }
+    ~VirtualDatagram() override {
+        const auto it = loop_.world_.datagrams_.find(address_);
+        if (it != loop_.world_.datagrams_.end() && it->second == this) loop_.world_.datagrams_.erase(it);
+    }
+    // Each goes its own way: one may overtake another.
+    void send(const Address& to, std::string_view bytes) override {
+        World& world = loop_.world_;
+        if (std::bernoulli_distribution(world.weather.datagram_loss)(world.random_)) return;
+        world.later(world.now() + world.delay(), [&world, to, from = address_, text = std::string(bytes)] {
+            const auto it = world.datagrams_.find(to);
+            if (it == world.datagrams_.end()) return;
+            // The socket may be gone when a process that stood still goes on.
+            World::in(it->second->loop_, [weak = std::weak_ptr<Heard>(it->second->heard_), from, text] {
+                if (const auto heard = weak.lock()) (*heard)(from, text);
+            });
+        });
+    }
+    Address address() const override { return address_; }
+
+  private:
+    friend class World;
+    VirtualLoop& loop_;
+    Address address_;
+    std::shared_ptr<Heard> heard_;
+};
+
 World::World(std::uint64_t seed) : random_(seed) {}
 World::~World() {
     // Tasks that never ran may own timers and streams, which need their loops to be taken back; those may add
@@ -207,6 +239,8 @@
     loop.live_.clear();
     for (auto it = listeners_.begin(); it != listeners_.end();)
         it = &it->second->loop_ == &loop ? listeners_.erase(it) : std::next(it);
+    for (auto it = datagrams_.begin(); it != datagrams_.end();)
+        it = &it->second->loop_ == &loop ? datagrams_.erase(it) : std::next(it);
     for (const auto& weak : loop.ends_)
         if (const auto end = weak.lock(); end && !end->over) {
             end->over = true;
@@ -286,6 +320,17 @@
     return std::make_unique<VirtualListener>(*this, at, std::move(accept));
 }
 
+std::unique_ptr<Datagram> VirtualLoop::datagram(const Address& local, Datagram::Heard heard) {
+    Address at = local;
+    if (at.port == 0) {
+        do at.port = world_.next_port_++;
+        while (world_.datagrams_.count(at));
+    }
+    if (world_.datagrams_.count(at))
+        throw std::runtime_error("no datagrams at " + at.text() + ": address already in use");
+    return std::make_unique<VirtualDatagram>(*this, at, std::move(heard));
+}
+
 std::unique_ptr<Stream> VirtualLoop::dial(const Address& address, Time timeout, StreamHandler* handler) {
     World& world = world_;
     const auto mine = std::make_shared<World::End>();
--- a/src/io/virtual/world.hpp
+++ b/src/io/virtual/world.hpp
@@ -19,6 +19,7 @@
     std::size_t largest_piece = 1460;  // writes are split and merged into pieces of 1 to so many bytes
     bool ragged = false;               // pieces of any size up to the largest, not full ones
     std::size_t window = 64 * 1024;    // sent and not yet read by the peer
+    double datagram_loss = 0;          // of each datagram
     double reset_chance = 0;           // of each piece: both sides see a reset in its place
 };
 
@@ -55,6 +56,7 @@
     friend class VirtualLoop;
     friend class VirtualStream;
     friend class VirtualListener;
+    friend class VirtualDatagram;
     void later(Time when, Loop::Task task) { tasks_.add(when, std::move(task)); }
     Time delay();
     // Runs the task in the process, or keeps it while that stands still; drops it when that is dead.
@@ -68,6 +70,7 @@
     std::map<std::string, std::unique_ptr<VirtualLoop>> loops_;
     std::vector<std::unique_ptr<VirtualLoop>> dead_;  // kept, for what still holds a reference
     std::map<Address, class VirtualListener*> listeners_;
+    std::map<Address, class VirtualDatagram*> datagrams_;
 };
 
 class VirtualLoop : public Loop {
@@ -77,6 +80,7 @@
     double wall_ms() const override { return 1.7e12 + world_.now_; }
     std::unique_ptr<Listener> listen(const Address& address, Accept accept) override;
     std::unique_ptr<Stream> dial(const Address& address, Time timeout, StreamHandler* handler) override;
+    std::unique_ptr<Datagram> datagram(const Address& local, Datagram::Heard heard) override;
     std::mt19937_64& random() override { return random_; }
     const std::string& name() const { return name_; }
     bool dead() const { return dead_; }
@@ -91,6 +95,7 @@
     friend class World;
     friend class VirtualStream;
     friend class VirtualListener;
+    friend class VirtualDatagram;
     World& world_;
     std::string name_;
     std::mt19937_64 random_;
--- /dev/null
+++ b/src/nodes/relay/nodes.cpp
@@ -0,0 +1,505 @@
+#include "nodes/relay/nodes.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace ivyfield::nodes {
+
+using relay::Code;
+using relay::NodeMessage;
+using relay::Type;
+
+namespace {
+
+// A node with sessions from which nothing has come for this long is dialled, to see whether its machine is
+// there; so many dials in a row that do not come up, and it is not. What has ended must be told to viewers
+// within 8 s of its end.
+constexpr io::Time kSilent = 2000;
+constexpr int kVanishedAfter = 3;
+// After a connection that nodes with sessions need is lost, the next dial waits so long, doubling.
+constexpr io::Time kRedial = 50, kLongestRedial = 1600;
+// Idle connections are closed by us well before the node does: a set-up that crosses its close is lost.
+constexpr double kIdlePart = 0.6;
+constexpr io::Time kSweep = 1000;
+
+}  // namespace
+
+struct RelayNodes::Connection : io::StreamHandler {
+    RelayNodes& owner;
+    Node& node;
+    std::unique_ptr<io::Stream> stream;
+    relay::FrameDecoder decoder;
+    bool up = false, gone = false;
+    io::Time used = 0;
+    // At most one of these.
+    std::optional<core::SetUp> set_up;
+    bool written = false;
+    bool testing = false;
+    relay::SessionNumber test = 0;
+    io::Time tested = 0;
+    io::Timer test_timer;
+    bool watching = false;  // dialled to see whether the machine is there
+
+    Connection(RelayNodes& o, Node& n) : owner(o), node(n) {}
+    bool idle() const { return !set_up && !testing; }
+    void on_open() override { owner.opened(*this); }
+    void on_data(std::string_view bytes) override { owner.heard(*this, bytes); }
+    void on_end() override { owner.closed(*this, true, false); }
+    void on_closed(io::Closing why) override { owner.closed(*this, up, why == io::Closing::refused); }
+};
+
+struct RelayNodes::Node {
+    ServerId id = 0;
+    RelayNode known;
+    bool listed = true;
+    std::list<std::unique_ptr<Connection>> connections;
+    std::map<SessionId, Standing> standing;
+    io::Time last_word = 0, redial_wait = 0;
+    int failed_dials = 0;
+    io::Timer redial, watch;
+};
+
+RelayNodes::RelayNodes(io::Loop& loop, const RelayLimits& limits) : loop_(loop), limits_(limits) {
+    sweep_ = loop_.after(kSweep, [this] { sweep(); });
+}
+RelayNodes::~RelayNodes() = default;
+
+RelayNodes::Node* RelayNodes::find(ServerId id) {
+    const auto it = nodes_.find(id);
+    return it == nodes_.end() ? nullptr : it->second.get();
+}
+
+void RelayNodes::know(const std::map<ServerId, RelayNode>& nodes) {
+    for (const auto& [id, known] : nodes) {
+        auto& node = nodes_[id];
+        if (!node) node = std::make_unique<Node>();
+        node->id = id;
+        node->known = known;
+        node->listed = true;
+    }
+    std::vector<ServerId> gone;
+    for (const auto& [id, node] : nodes_)
+        if (!nodes.count(id)) gone.push_back(id);
+    for (const ServerId id : gone) {
+        Node& node = *nodes_.at(id);
+        node.listed = false;
+        node.known.ready = false;
+        lose_all(node, "gone from the list");
+        // Set-ups still out end with their connections; the node is forgotten when none is left.
+        std::vector<Connection*> idle;
+        for (const auto& c : node.connections)
+            if (c->idle()) idle.push_back(c.get());
+        for (Connection* c : idle) drop(*c);
+        if (node.connections.empty()) nodes_.erase(id);
+    }
+}
+
+void RelayNodes::adopt(ServerId server, SessionId session, int attempt) {
+    Node* node = find(server);
+    if (!node) {
+        loop_.post([this, session, attempt] { events_->over(session, attempt, Outcome::reset, {}); });
+        return;
+    }
+    node->standing[session] = {attempt};
+    keep_up(*node);
+}
+
+// ---- Connections ----
+
+RelayNodes::Connection& RelayNodes::dial(Node& node) {
+    auto owned = std::make_unique<Connection>(*this, node);
+    Connection& c = *owned;
+    c.used = loop_.now();
+    node.connections.push_back(std::move(owned));
+    connections_ += 1;
+    counts_.dials += 1;
+    c.stream = loop_.dial(node.known.address, limits_.connect_timeout, &c);
+    return c;
+}
+
+RelayNodes::Connection* RelayNodes::idle(Node& node, bool open_only) {
+    Connection* best = nullptr;
+    for (const auto& c : node.connections) {
+        if (c->gone || !c->idle() || c->watching || (open_only && !c->up)) continue;
+        if (limits_.idle_close > 0 && loop_.now() - c->used > limits_.idle_close * kIdlePart) continue;
+        if (!best || c->used > best->used) best = c.get();
+    }
+    return best;
+}
+
+// Takes the connection out of the books; it is destroyed when its own callbacks have returned.
+void RelayNodes::drop(Connection& c) {
+    if (c.gone) return;
+    c.gone = true;
+    connections_ -= 1;
+    c.stream->set_handler(nullptr);
+    c.test_timer.stop();
+    Node& node = c.node;
+    const auto it = std::find_if(node.connections.begin(), node.connections.end(),
+                                 [&](const auto& one) { return one.get() == &c; });
+    dead_.push_back(std::move(*it));
+    node.connections.erase(it);
+    if (burying_) return;
+    burying_ = true;
+    loop_.post([this] {
+        burying_ = false;
+        dead_.clear();
+        std::vector<ServerId> done;
+        for (const auto& [id, one] : nodes_)
+            if (!one->listed && one->connections.empty()) done.push_back(id);
+        for (const ServerId id : done) nodes_.erase(id);
+    });
+}
+
+void RelayNodes::write(Connection& c, const NodeMessage& message) {
+    c.used = loop_.now();
+    c.stream->write(relay::write_frame(message));
+}
+// On any connection that is up; false: there is none.
+bool RelayNodes::tell(Node& node, const NodeMessage& message) {
+    Connection* best = nullptr;
+    for (const auto& c : node.connections)
+        if (!c->gone && c->up && (!best || c->used > best->used)) best = c.get();
+    if (best) write(*best, message);
+    return best != nullptr;
+}
+
+void RelayNodes::opened(Connection& c) {
+    c.up = true;
+    c.watching = false;
+    Node& node = c.node;
+    node.failed_dials = 0;
+    node.redial_wait = 0;
+    node.last_word = loop_.now();
+    if (c.set_up) return write_set_up(c);
+    if (c.testing) {
+        NodeMessage m;
+        m.type = Type::ping, m.session = c.test, m.cause = relay::kCauseFailed;
+        write(c, m);
+    }
+}
+
+void RelayNodes::write_set_up(Connection& c) {
+    const core::SetUp& what = *c.set_up;
+    // The list may have changed while the connection came up: nothing new goes to a node that drains.
+    if (!c.node.listed || !c.node.known.ready || what.expires <= loop_.now())
+        return set_up_over(c, Outcome::not_sent, {});
+    NodeMessage m;
+    m.type = Type::setup;
+    m.session = what.session;
+    const auto put = [&](Code code, std::string text) {
+        m.parameters[static_cast<int>(code)] = std::move(text);
+    };
+    put(Code::cls, what.ask.cls_name);
+    put(Code::title, what.ask.title_name);
+    put(Code::wait, std::to_string(std::max(1LL, std::llround(what.expires - loop_.now()))));
+    put(Code::rung, std::to_string(what.rung));
+    put(Code::sdp, what.ask.description);
+    c.written = true;
+    counts_.set_ups += 1;
+    write(c, m);
+}
+
+// A dial that did not come up, or a connection that broke.
+void RelayNodes::closed(Connection& c, bool came_up, bool refused) {
+    if (c.gone) return;
+    Node& node = c.node;
+    const bool written = c.written;
+    drop(c);  // owned by dead_ until this returns to the loop
+    if (came_up) counts_.resets += 1;
+    else node.failed_dials += 1;
+    if (c.set_up) set_up_over(c, written ? Outcome::reset : Outcome::not_connected, {});
+    if (c.testing) test_over(c, came_up ? Outcome::reset : Outcome::not_connected, {});
+    if (refused) lose_all(node, "refuses connections");
+    else if (!came_up && node.failed_dials >= kVanishedAfter) {
+        counts_.vanished += !node.standing.empty();
+        lose_all(node, "no connection comes up");
+    }
+    keep_up(node);
+}
+
+// Where sessions stand a connection stays, and the machine is looked for when nothing comes of it.
+void RelayNodes::keep_up(Node& node) {
+    if (node.standing.empty() || !node.listed) {
+        node.redial.stop();
+        node.watch.stop();
+        return;
+    }
+    const bool any = std::any_of(node.connections.begin(), node.connections.end(),
+                                 [](const auto& c) { return !c->gone; });
+    if (!any) {
+        const ServerId id = node.id;
+        node.redial = loop_.after(node.redial_wait, [this, id] {
+            Node* n = find(id);
+            if (!n || n->standing.empty() || !n->listed) return;
+            n->redial_wait = std::min(kLongestRedial, std::max(kRedial, 2 * n->redial_wait));
+            if (n->connections.empty()) dial(*n);
+        });
+    }
+    watch(node);
+}
+void RelayNodes::watch(Node& node) {
+    const ServerId id = node.id;
+    node.watch = loop_.at(std::max(loop_.now() + kSilent / 4, node.last_word + kSilent), [this, id] {
+        Node* n = find(id);
+        if (!n || n->standing.empty() || !n->listed) return;
+        const bool dialling = std::any_of(n->connections.begin(), n->connections.end(),
+                                          [](const auto& c) { return !c->gone && !c->up; });
+        if (loop_.now() - n->last_word >= kSilent && !dialling) dial(*n).watching = true;
+        watch(*n);
+    });
+}
+
+void RelayNodes::lose_all(Node& node, const char* why) {
+    if (node.standing.empty()) return;
+    if (on_remark) on_remark("node " + node.known.uid + " " + why + ": " +
+                             std::to_string(node.standing.size()) + " sessions are over");
+    const auto standing = std::move(node.standing);
+    node.standing.clear();
+    for (const auto& [session, one] : standing) {
+        NodeMessage m;
+        m.type = Type::release, m.session = session, m.cause = relay::kCauseGivenUp;
+        tell(node, m);
+        events_->over(session, one.attempt, Outcome::reset, {});
+    }
+}
+
+void RelayNodes::sweep() {
+    for (const auto& [id, node] : nodes_) {
+        std::vector<Connection*> old;
+        std::size_t up = 0;
+        for (const auto& c : node->connections) up += !c->gone && c->up;
+        for (const auto& c : node->connections) {
+            if (!c->idle() || !c->up || limits_.idle_close <= 0) continue;
+            if (loop_.now() - c->used <= limits_.idle_close * kIdlePart) continue;
+            if (up == 1 && !node->standing.empty()) continue;  // the one by which ends come
+            up -= 1;
+            old.push_back(c.get());
+        }
+        for (Connection* c : old) drop(*c);
+    }
+    sweep_ = loop_.after(kSweep, [this] { sweep(); });
+}
+
+// ---- The engine's calls ----
+
+void RelayNodes::set_up(const core::SetUp& what) {
+    Node* node = find(what.server);
+    if (!node || !node->listed || !node->known.ready) {
+        loop_.post([this, what] { events_->over(what.session, what.attempt, Outcome::not_sent, {}); });
+        return;
+    }
+    Connection* c = idle(*node, true);
+    const bool up = c != nullptr;
+    if (!c) c = &dial(*node);
+    c->set_up = what;
+    c->written = false;
+    if (up) write_set_up(*c);
+}
+
+void RelayNodes::set_up_over(Connection& c, Outcome outcome, const LoadReport& report) {
+    const core::SetUp what = std::move(*c.set_up);
+    c.set_up.reset();
+    c.written = false;
+    // Never from within a call of the engine's.
+    loop_.post([this, session = what.session, attempt = what.attempt, outcome, report] {
+        events_->over(session, attempt, outcome, report);
+    });
+}
+
+void RelayNodes::set_rung(ServerId server, SessionId session, int, int rung) {
+    Node* node = find(server);
+    if (!node) return;
+    NodeMessage m;
+    m.type = Type::rate, m.session = session;
+    m.parameters[static_cast<int>(Code::rung)] = std::to_string(rung);
+    tell(*node, m);
+}
+
+void RelayNodes::move(ServerId server, SessionId session, int attempt) {
+    Node* node = find(server);
+    if (!node || !node->standing.erase(session)) return;
+    NodeMessage m;
+    m.type = Type::move, m.session = session;
+    tell(*node, m);
+    loop_.post([this, session, attempt] { events_->over(session, attempt, Outcome::cancelled, {}); });
+    keep_up(*node);
+}
+
+void RelayNodes::cancel(ServerId server, SessionId session, int attempt) {
+    Node* node = find(server);
+    if (!node) return;
+    NodeMessage m;
+    m.type = Type::release, m.session = session, m.cause = relay::kCauseGivenUp;
+    for (const auto& c : node->connections) {
+        if (!c->set_up || c->set_up->session != session || c->set_up->attempt != attempt) continue;
+        // Given up in words and by closing: a process that hangs will read neither in time.
+        if (c->written) write(*c, m);
+        c->set_up.reset();
+        Connection& one = *c;
+        drop(one);
+        keep_up(*node);
+        return;
+    }
+    if (!node->standing.erase(session)) return;
+    tell(*node, m);
+    loop_.post([this, session, attempt] { events_->over(session, attempt, Outcome::cancelled, {}); });
+    keep_up(*node);
+}
+
+void RelayNodes::probe(ServerId server) {
+    Node* node = find(server);
+    if (!node || !node->listed) {
+        loop_.post([this, server] { events_->probed(server, Outcome::not_connected, 0, {}); });
+        return;
+    }
+    Connection* c = idle(*node, true);
+    const bool up = c != nullptr;
+    if (!c) c = &dial(*node);
+    c->testing = true;
+    c->test = ++last_test_;
+    c->tested = loop_.now();
+    counts_.tests += 1;
+    c->test_timer = loop_.after(limits_.connect_timeout, [this, c] {
+        Node& n = c->node;
+        drop(*c);
+        test_over(*c, Outcome::timed_out, {});
+        keep_up(n);
+    });
+    if (!up) return;
+    NodeMessage m;
+    m.type = Type::ping, m.session = c->test, m.cause = relay::kCauseFailed;
+    write(*c, m);
+}
+
+void RelayNodes::test_over(Connection& c, Outcome outcome, const LoadReport& report) {
+    c.testing = false;
+    c.test_timer.stop();
+    loop_.post([this, server = c.node.id, outcome, waited = loop_.now() - c.tested, report] {
+        events_->probed(server, outcome, waited, report);
+    });
+}
+
+// ---- What nodes say ----
+
+LoadReport RelayNodes::report_of(const NodeMessage& message) const {
+    const std::string* text = message.find(Code::report);
+    if (!text) return {};
+    const auto pairs = relay::read_pairs(*text);
+    if (!pairs) return {};
+    LoadReport report;
+    for (const std::string& field : limits_.report) {
+        const auto it = pairs->find(field);
+        const auto value = it == pairs->end() ? std::nullopt : relay::read_number(it->second);
+        // A field that is missing is no zero.
+        report.push_back(value ? static_cast<float>(*value) : std::numeric_limits<float>::quiet_NaN());
+    }
+    return report;
+}
+
+void RelayNodes::heard(Connection& c, std::string_view bytes) {
+    c.node.last_word = loop_.now();
+    c.used = loop_.now();
+    while (!c.gone && !bytes.empty()) {
+        const auto result = c.decoder.next(bytes);
+        if (!result) return;
+        if (const auto* fault = std::get_if<relay::Fault>(&*result)) {
+            counts_.spoilt += 1;
+            if (on_remark) on_remark("node " + c.node.known.uid + ": " + fault->why);
+            return closed(c, true, false);
+        }
+        take(c, std::get<NodeMessage>(*result));
+    }
+}
+
+void RelayNodes::stands_no_more(Node& node, SessionId session, Outcome outcome, const LoadReport& report) {
+    const auto it = node.standing.find(session);
+    if (it == node.standing.end()) return;
+    const int attempt = it->second.attempt;
+    node.standing.erase(it);
+    keep_up(node);
+    events_->over(session, attempt, outcome, report);
+}
+
+void RelayNodes::take(Connection& c, const NodeMessage& m) {
+    Node& node = c.node;
+    const bool ours = c.set_up && c.written && c.set_up->session == m.session;
+    const auto standing = node.standing.find(m.session);
+    switch (m.type) {
+        case Type::answer: {
+            if (!ours) {
+                counts_.stray += 1;
+                return;
+            }
+            const std::string* sdp = m.find(Code::sdp);
+            if (!sdp || !relay::utf8(*sdp)) {
+                counts_.spoilt += 1;
+                return closed(c, true, false);
+            }
+            const core::SetUp what = std::move(*c.set_up);
+            c.set_up.reset();
+            c.written = false;
+            node.standing[what.session] = {what.attempt};
+            keep_up(node);
+            core::Media media;
+            media.description = *sdp;
+            events_->started(what.session, what.attempt, media);
+            return;
+        }
+        case Type::release: {
+            const int cause = m.cause.value_or(-1);
+            const LoadReport report = report_of(m);
+            if (ours) {
+                const Outcome outcome = cause == relay::kCauseFull      ? Outcome::full
+                                        : cause == relay::kCauseError   ? Outcome::error
+                                        : cause == relay::kCauseNotSent ? Outcome::not_sent
+                                                                        : Outcome::reset;
+                return set_up_over(c, outcome, report);
+            }
+            NodeMessage heard;
+            heard.type = Type::released, heard.session = m.session;
+            write(c, heard);
+            if (standing == node.standing.end()) {
+                counts_.stray += 1;
+                return;
+            }
+            return stands_no_more(node, m.session,
+                                  cause == relay::kCauseGivenUp     ? Outcome::ended
+                                  : cause == relay::kCauseCancelled ? Outcome::cancelled
+                                                                    : Outcome::reset,
+                                  report);
+        }
+        case Type::pong: {
+            if (!c.testing || m.session != c.test) {
+                counts_.stray += 1;
+                return;
+            }
+            const bool passed = m.cause.value_or(relay::kCauseFailed) == relay::kCausePassed;
+            return test_over(c, passed ? Outcome::ended : Outcome::error, report_of(m));
+        }
+        case Type::note: {
+            const std::string* what = m.find(Code::note);
+            const std::string* figure = m.find(Code::figure);
+            const auto value = figure ? relay::read_number(*figure) : std::nullopt;
+            if (!what || !value || standing == node.standing.end()) {
+                counts_.stray += 1;
+                return;
+            }
+            const NoteKind kind = *what == "share"   ? NoteKind::delivered_share
+                                  : *what == "step"  ? NoteKind::rung
+                                  : *what == "asked" ? NoteKind::link
+                                  : *what == "rack"  ? NoteKind::uplink
+                                                     : NoteKind::other;
+            return events_->note(m.session, standing->second.attempt, node.id, kind, *value);
+        }
+        case Type::progress:
+        case Type::released:
+            return;  // free, means nothing
+        default:
+            counts_.stray += 1;
+            return;
+    }
+}
+
+}  // namespace ivyfield::nodes
--- a/src/benchlink/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,10 +1,11 @@
-// The settings of an instance: path=value lines to Settings. Unknown keys are ignored.
+#include "settings/settings.hpp"
+
+#include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <map>
 
-#include "codec.hpp"
-
-namespace ivyfield::benchlink {
+namespace ivyfield::settings {
 
 namespace {
 
@@ -17,7 +18,7 @@
             text.remove_prefix(std::min(end + 1, text.size()));
             if (line.empty() || line == "\r") continue;
             const std::size_t eq = line.find('=');
-            if (eq == std::string_view::npos) throw WireError("setting without '=': " + std::string(line));
+            if (eq == std::string_view::npos) throw SettingsError("setting without '=': " + std::string(line));
             values_[std::string(line.substr(0, eq))] = std::string(line.substr(eq + 1));
         }
     }
@@ -31,12 +32,12 @@
     }
     int count(const std::string& key, int absent) const {
         const double value = number(key, absent);
-        if (!(value >= 0 && value <= 1e6)) throw WireError("setting out of range: " + key);
+        if (!(value >= 0 && value <= 1e6)) throw SettingsError("setting out of range: " + key);
         return static_cast<int>(value);
     }
     bool flag(const std::string& key, bool absent) const {
         const std::string value = text(key, absent ? "true" : "false");
-        if (value != "true" && value != "false") throw WireError("setting is neither true nor false: " + key);
+        if (value != "true" && value != "false") throw SettingsError("setting is neither true nor false: " + key);
         return value == "true";
     }
     std::vector<std::string> list(const std::string& key) const {
@@ -59,7 +60,7 @@
         double value = 0;
         const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
         if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value))
-            throw WireError("setting is not a number: " + key + "=" + text);
+            throw SettingsError("setting is not a number: " + key + "=" + text);
         return value;
     }
     std::map<std::string, std::string> values_;
@@ -69,7 +70,7 @@
     if (word == "pure") return Repeat::harmless;
     if (word == "token") return Repeat::keyed;
     if (word == "side_effect") return Repeat::paid;
-    throw WireError("unknown effect of a class: " + word);
+    throw SettingsError("unknown effect of a class: " + word);
 }
 
 RepeatGroup group_of(const std::string& word) {
@@ -95,7 +96,7 @@
 
 }  // namespace
 
-Settings parse_settings(std::string_view text) {
+Settings parse(std::string_view text) {
     const Values v(text);
     Settings s;
     s.directors = v.count("balancers", 1);
@@ -129,7 +130,7 @@
     s.join_part = v.number(f + "shared_adds", 1);
     s.rung_kb = v.numbers(f + "rung_kb");
     s.rung_worth = v.numbers(f + "rung_worth");
-    if (s.rung_kb.size() != s.rung_worth.size()) throw WireError("rung_kb and rung_worth differ in length");
+    if (s.rung_kb.size() != s.rung_worth.size()) throw SettingsError("rung_kb and rung_worth differ in length");
     s.short_points = v.number(f + "stall", 0);
     s.notes_late = v.number(f + "seen_after_ms", 0);
     s.link_note_every = v.number(f + "told_every_ms", 0);
@@ -167,4 +168,4 @@
     return s;
 }
 
-}  // namespace ivyfield::benchlink
+}  // namespace ivyfield::settings
