Set-ups of the start name no bound to their wait: 242 sessions under way were turned away

Seen: 373 attempts of the first five seconds timed out, 373 sessions 'released while they stood', the log's count of bad set-ups 121 a director, all with left 4294967 and at: sessions under way, whose wait has no end. At fault: read_ask held their left to the class's patience.

--- a/src/cli/relay.cpp
+++ b/src/cli/relay.cpp
@@ -17,6 +17,8 @@
 constexpr io::Time kTakeOn = 750;
 constexpr io::Time kLookEvery = 20;
 constexpr io::Time kStatusEvery = 5000;
+// Bad set-ups are told one by one up to here, then only counted: who sends them does not write our log.
+constexpr int kMostBadTold = 20;
 
 // Alike at every director: a node is its id, not its address.
 ServerId server_of(const std::string& uid) { return XXH64(uid.data(), uid.size(), 0); }
@@ -68,6 +70,11 @@
         nodes_.adopt(server, *ask.number, 0);
         return true;
     };
+    front_.on_bad = [this](const std::string& why, const relay::ViewerMessage& m) {
+        if (bad_told_ >= kMostBadTold) return;
+        bad_told_ += 1;
+        remark(log::Level::warning, "bad set-up", {{"why", why}, {"fields", m.fields}});
+    };
     front_.first_set_up = [this] { begin(); };
     remark(log::Level::info, "started",
            {{"listen", config.listen.text()}, {"list", config.dns.text()}, {"nodes", members_.size()}});
--- a/src/cli/relay.hpp
+++ b/src/cli/relay.hpp
@@ -44,6 +44,7 @@
     discovery::SrvList list_;
     discovery::Members members_;
     bool began_ = false;
+    int bad_told_ = 0;
     std::function<void()> done_;
     io::Time stop_asked_ = 0;
     io::Timer stop_timer_, status_timer_;
--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -257,10 +257,6 @@
         ask.tenant = index(names_.tenants, field("tenant"));
         if (ask.tenant < 0) return "no such tenant";
     }
-    const Time patience = settings_.classes[static_cast<std::size_t>(ask.cls)].patience;
-    const auto left = relay::read_number(field("left"));
-    if (!left || *left <= 0 || *left > patience + 1) return "left is no time to wait";
-    ask.deadline = loop_.now() + *left;
     ask.title_name = field("key");
     const auto title = relay::read_hex(ask.title_name);
     if (!title) return "key is no title";
@@ -285,6 +281,11 @@
     ask.viewer = *viewer;
     ask.again = extra("again") == "1";
     at = extra("at");
+    // One that plays already waits for nothing, and says so by a time without bound.
+    const Time patience = settings_.classes[static_cast<std::size_t>(ask.cls)].patience;
+    const auto left = relay::read_number(field("left"));
+    if (!left || *left <= 0 || (at.empty() && *left > patience + 1)) return "left is no time to wait";
+    ask.deadline = loop_.now() + *left;
     return "";
 }
 
@@ -302,6 +303,7 @@
     const std::string why = read_ask(m, ask, at);
     if (!why.empty() || c.open.size() >= limits_.open_a_connection) {
         counts_.bad += 1;
+        if (on_bad) on_bad(why, m);
         return release(c, m.id, kUnusable);
     }
     if (first_set_up && !began_) first_set_up();
--- a/src/fronts/relay/front.hpp
+++ b/src/fronts/relay/front.hpp
@@ -47,6 +47,8 @@
     std::function<std::optional<ServerId>(const std::string& uid)> node_named;
     // A session that plays already is handed over: to the engine, and to the node's link.
     std::function<bool(const core::Ask& ask, ServerId server)> adopt;
+    // A set-up that can't be used, and why.
+    std::function<void(const std::string& why, const relay::ViewerMessage& m)> on_bad;
     // Before the first set-up is passed on.
     std::function<void()> first_set_up;
 
