Tests of nodes ask for a report: cause 1, as the protocol has it

Seen: the module probed 3,088 times in 25 s and never learned a load; a dump of what nodes sent showed every pong without parameter 51. At fault: write of Type::ping with cause 0, which asks for no report.

--- a/src/nodes/relay/nodes.cpp
+++ b/src/nodes/relay/nodes.cpp
@@ -175,7 +175,7 @@
     if (c.set_up) return write_set_up(c);
     if (c.testing) {
         NodeMessage m;
-        m.type = Type::ping, m.session = c.test, m.cause = relay::kCauseFailed;
+        m.type = Type::ping, m.session = c.test, m.cause = relay::kCauseWithReport;
         write(c, m);
     }
 }
@@ -369,7 +369,7 @@
     });
     if (!up) return;
     NodeMessage m;
-    m.type = Type::ping, m.session = c->test, m.cause = relay::kCauseFailed;
+    m.type = Type::ping, m.session = c->test, m.cause = relay::kCauseWithReport;
     write(*c, m);
 }
 
--- a/src/relay/message.hpp
+++ b/src/relay/message.hpp
@@ -23,7 +23,8 @@
 const char* name(Type type);
 
 // Causes that the protocol names.
-constexpr int kCauseFailed = 0, kCausePassed = 1;  // of tests
+constexpr int kCausePlain = 0, kCauseWithReport = 1;  // of a test: what it asks for
+constexpr int kCauseFailed = 0, kCausePassed = 1;      // of its answer
 constexpr int kCauseGivenUp = 16, kCauseCancelled = 31, kCauseFull = 34, kCauseReset = 41, kCauseBusy = 42,
               kCauseError = 47, kCauseNotSent = 102;
 
