--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -41,7 +41,8 @@
 // The platform names the director by three variables and nothing else.
 std::string variable(const char* name) {
     const char* value = std::getenv(name);
-    if (!value || !*value) throw std::runtime_error(std::string(name) + " is not set; see ivyfield relay --help");
+    if (!value || !*value)
+        throw std::runtime_error(std::string(name) + " is not set; see ivyfield relay --help");
     return value;
 }
 int relay_on_platform() {
@@ -63,7 +64,8 @@
         return 2;
     }
     ::signal(SIGPIPE, SIG_IGN);
-    io::raise_file_limit();
+    if (const std::size_t files = io::raise_file_limit()) config.sockets = std::min(config.sockets, files);
+    io::never_wait_for_log();
     io::EvLoop loop(config.seed);
     cli::RelayProcess director(loop, config, "-");
     loop.on_signal(SIGHUP, [&] {
--- a/src/cli/relay.cpp
+++ b/src/cli/relay.cpp
@@ -57,7 +57,7 @@
     engine_.on_remark = [this](const std::string& text) {
         remark(log::Level::info, "module", {{"text", text}});
     };
-    engine_.on_gone = [this](SessionId id, bool moved) { front_.gone(id, moved); };
+    engine_.on_gone = [this](SessionId id, bool owed, bool moved) { front_.gone(id, owed, moved); };
     nodes_.on_remark = [this](const std::string& text) {
         remark(log::Level::warning, "nodes", {{"text", text}});
     };
@@ -223,6 +223,7 @@
               {"spoilt", n.spoilt},
               {"resets", n.resets},
               {"stray", n.stray},
+              {"shared", n.shared},
               {"vanished", n.vanished}}},
             {"list",
              {{"asked", d.asked},
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -439,7 +439,7 @@
     if (was == State::playing) {
         playing_ -= 1;
         counts_.reset += outcome == Outcome::reset;
-        if (on_gone && !s.hung_up && !s.moving && outcome != Outcome::cancelled) on_gone(id, false);
+        if (on_gone) on_gone(id, !s.hung_up && !s.moving && outcome != Outcome::cancelled, false);
     }
     if (s.record.answered) finish(id, was == State::playing ? "node" : "player");
     else s.state = State::held;
@@ -554,7 +554,7 @@
     if (s.state != State::playing) slip(s, "moved, though it does not play");
     s.moving = true;
     remark(s, "moved");
-    if (on_gone) on_gone(a.id, true);
+    if (on_gone) on_gone(a.id, true, true);
     nodes_.move(s.record.server, a.id, s.attempt);
 }
 void Engine::carry(const Probe& a) { nodes_.probe(a.server); }
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -67,8 +67,9 @@
     std::function<void(const SessionRecord&)> on_end;   // each session, once, when it is over
     std::function<void(const std::string&)> on_remark;  // the module's own log lines
 
-    // A session that stands has left its viewer: it is moved, or over though its viewer did not end it. Once.
-    std::function<void(SessionId, bool moved)> on_gone;
+    // A session that stood is over or is moved. `owed`: its viewer is to be told, since it has not ended it
+    // itself and has not been told that it is moved.
+    std::function<void(SessionId, bool owed, bool moved)> on_gone;
 
     // A request for a session. The waiter hears its answer, possibly within this call, unless it leaves
     // first. The same sid for the same title joins the session it has: no second set-up, and the same answer.
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -36,7 +36,7 @@
 struct Media {
     std::string url;                    // absolute, ends with '/'
     std::vector<Rendition> renditions;  // by rung; may be fewer
-    std::string description;            // opaque, for the viewer
+    std::string description = {};       // opaque, for the viewer
 };
 
 // One number for one title, alike at each director and after each restart.
--- a/src/discovery/srv/srv.cpp
+++ b/src/discovery/srv/srv.cpp
@@ -184,9 +184,8 @@
                  Changed changed)
     : loop_(loop), server_(server), name_(name), serial_(known), changed_(std::move(changed)) {
     const char* any = server.host.find(':') == std::string::npos ? "0.0.0.0" : "::";
-    socket_ = loop.datagram({any, 0}, [this](const io::Address& from, std::string_view bytes) {
-        heard(from, bytes);
-    });
+    socket_ = loop.datagram({any, 0},
+                            [this](const io::Address& from, std::string_view bytes) { heard(from, bytes); });
     next_ = loop_.after(0, [this] { ask(); });
 }
 
--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -162,7 +162,7 @@
     std::vector<Connection*> old;
     for (const auto& c : connections_) {
         if (c->ending ? loop_.now() - c->ended > limits_.linger
-                      : c->open.empty() && loop_.now() - c->used > limits_.idle)
+                      : c->open.empty() && c->standing.empty() && loop_.now() - c->used > limits_.idle)
             old.push_back(c.get());
     }
     for (Connection* c : old) {
@@ -374,13 +374,14 @@
 
 // ---- What ends ----
 
-void RelayFront::gone(SessionId id, bool moved) {
+void RelayFront::gone(SessionId id, bool owed, bool moved) {
     Connection* c = nullptr;
     if (const auto it = standing_.find(id); it != standing_.end()) {
         c = it->second;
         if (c) c->standing.erase(id);
         standing_.erase(it);
     }
+    if (!owed) return;
     if (!c || c->gone || c->ending) {
         // Its own connection is gone: another of the viewers', the one heard last.
         c = nullptr;
@@ -404,7 +405,7 @@
     kept_.clear();
     for (const auto& [id, moved] : kept) {
         standing_[id] = &c;
-        gone(id, moved);
+        gone(id, true, moved);
     }
 }
 
--- a/src/fronts/relay/front.hpp
+++ b/src/fronts/relay/front.hpp
@@ -17,17 +17,18 @@
 namespace ivyfield::fronts {
 
 struct RelayFrontLimits {
-    std::size_t connections = 256;             // of viewers
-    std::size_t open_a_connection = 256;       // set-ups owed an answer
-    std::size_t unread_output = 256 * 1024;    // of one connection
-    std::size_t kept_releases = 4096;          // that wait for a connection
-    io::Time linger = 500;                     // a closed connection is still read, so that its last word arrives
-    io::Time idle = 10000;                     // without a session
+    std::size_t connections = 256;           // of viewers
+    std::size_t open_a_connection = 256;     // set-ups owed an answer
+    std::size_t unread_output = 256 * 1024;  // of one connection
+    std::size_t kept_releases = 4096;        // that wait for a connection
+    io::Time linger = 500;  // a closed connection is still read, so that its last word arrives
+    io::Time idle = 10000;  // without a session
 };
 
 struct RelayFrontCounts {
-    std::uint64_t connections = 0, set_ups = 0, unreadable = 0, bad = 0, repeated = 0, gave_up = 0, closed = 0,
-                  tests = 0, adopted = 0, hung_up = 0, releases = 0, unknown_releases = 0, shed = 0;
+    std::uint64_t connections = 0, set_ups = 0, unreadable = 0, bad = 0, repeated = 0, gave_up = 0,
+                  closed = 0, tests = 0, adopted = 0, hung_up = 0, releases = 0, unknown_releases = 0,
+                  shed = 0;
 };
 
 struct RelayNames {
@@ -52,8 +53,8 @@
     // Before the first set-up is passed on.
     std::function<void()> first_set_up;
 
-    // A session that stands has ended or is moved; its viewer is told.
-    void gone(SessionId id, bool moved);
+    // A session that stood has ended or is moved; its viewer is told where that is owed.
+    void gone(SessionId id, bool owed, bool moved);
     // No new connections any more.
     void stop_listening() { listener_.reset(); }
     std::size_t connections() const { return connections_.size(); }
--- a/src/io/ev/child.cpp
+++ b/src/io/ev/child.cpp
@@ -73,11 +73,16 @@
     return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024;
 }
 
-void raise_file_limit() {
+std::size_t raise_file_limit() {
     rlimit limit{};
-    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return 0;
     limit.rlim_cur = limit.rlim_max;
     setrlimit(RLIMIT_NOFILE, &limit);
+    return static_cast<std::size_t>(limit.rlim_cur);
+}
+void never_wait_for_log() {
+    const int flags = fcntl(STDERR_FILENO, F_GETFL);
+    if (flags >= 0) fcntl(STDERR_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 std::string own_program() { return std::filesystem::read_symlink("/proc/self/exe").string(); }
 std::string temporary_folder() {
--- a/src/io/ev/child.hpp
+++ b/src/io/ev/child.hpp
@@ -24,8 +24,9 @@
     int pid_ = -1, code_ = 0;
 };
 
-void raise_file_limit();    // open files: as many as this process may have
-std::string own_program();  // the path of this program
+std::size_t raise_file_limit();  // open files: as many as this process may have; how many, 0: not known
+void never_wait_for_log();       // lines that a full pipe on standard error does not take are lost
+std::string own_program();       // the path of this program
 // A fresh folder for this run, removed by the caller. Throws std::runtime_error.
 std::string temporary_folder();
 void write_file(const std::string& path, const std::string& text);
--- a/src/nodes/relay/nodes.cpp
+++ b/src/nodes/relay/nodes.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace ivyfield::nodes {
 
@@ -32,21 +33,25 @@
     relay::FrameDecoder decoder;
     bool up = false, gone = false;
     io::Time used = 0;
-    // At most one of these.
-    std::optional<core::SetUp> set_up;
-    bool written = false;
+    // One set-up, as long as there is room for more connections.
+    struct Open {
+        core::SetUp what;
+        bool written = false;
+    };
+    std::map<SessionId, Open> open;
     bool testing = false;
     relay::SessionNumber test = 0;
     io::Time tested = 0;
     io::Timer test_timer;
     bool watching = false;  // dialled to see whether the machine is there
+    bool watched = false;   // and came up
 
     Connection(RelayNodes& o, Node& n) : owner(o), node(n) {}
-    bool idle() const { return !set_up && !testing; }
+    bool idle() const { return open.empty() && !testing; }
     void on_open() override { owner.opened(*this); }
     void on_data(std::string_view bytes) override { owner.heard(*this, bytes); }
-    void on_end() override { owner.closed(*this, true, false); }
-    void on_closed(io::Closing why) override { owner.closed(*this, up, why == io::Closing::refused); }
+    void on_end() override { owner.closed(*this, true, io::Closing::clean); }
+    void on_closed(io::Closing why) override { owner.closed(*this, up, why); }
 };
 
 struct RelayNodes::Node {
@@ -167,12 +172,22 @@
 
 void RelayNodes::opened(Connection& c) {
     c.up = true;
-    c.watching = false;
     Node& node = c.node;
+    if (std::exchange(c.watching, false)) {
+        // It stays, since ends are told on the next connection too; the one that an earlier look left goes.
+        Connection* old = nullptr;
+        for (const auto& one : node.connections)
+            if (one->watched && one->idle()) old = one.get();
+        if (old) drop(*old);
+        c.watched = true;
+    }
     node.failed_dials = 0;
     node.redial_wait = 0;
     node.last_word = loop_.now();
-    if (c.set_up) return write_set_up(c);
+    std::vector<SessionId> waiting;
+    for (const auto& [id, open] : c.open)
+        if (!open.written) waiting.push_back(id);
+    for (const SessionId id : waiting) write_set_up(c, id);
     if (c.testing) {
         NodeMessage m;
         m.type = Type::ping, m.session = c.test, m.cause = relay::kCauseWithReport;
@@ -180,11 +195,12 @@
     }
 }
 
-void RelayNodes::write_set_up(Connection& c) {
-    const core::SetUp& what = *c.set_up;
+void RelayNodes::write_set_up(Connection& c, SessionId session) {
+    Connection::Open& open = c.open.at(session);
+    const core::SetUp& what = open.what;
     // The list may have changed while the connection came up: nothing new goes to a node that drains.
     if (!c.node.listed || !c.node.known.ready || what.expires <= loop_.now())
-        return set_up_over(c, Outcome::not_sent, {});
+        return set_up_over(c, session, Outcome::not_sent, {});
     NodeMessage m;
     m.type = Type::setup;
     m.session = what.session;
@@ -196,21 +212,29 @@
     put(Code::wait, std::to_string(std::max(1LL, std::llround(what.expires - loop_.now()))));
     put(Code::rung, std::to_string(what.rung));
     put(Code::sdp, what.ask.description);
-    c.written = true;
+    open.written = true;
     counts_.set_ups += 1;
     write(c, m);
 }
 
 // A dial that did not come up, or a connection that broke.
-void RelayNodes::closed(Connection& c, bool came_up, bool refused) {
+void RelayNodes::closed(Connection& c, bool came_up, io::Closing why) {
     if (c.gone) return;
+    const bool refused = why == io::Closing::refused, no_room = why == io::Closing::no_resources;
     Node& node = c.node;
-    const bool written = c.written;
     drop(c);  // owned by dead_ until this returns to the loop
     if (came_up) counts_.resets += 1;
-    else node.failed_dials += 1;
-    if (c.set_up) set_up_over(c, written ? Outcome::reset : Outcome::not_connected, {});
-    if (c.testing) test_over(c, came_up ? Outcome::reset : Outcome::not_connected, {});
+    else if (!no_room) node.failed_dials += 1;  // our own want of descriptors tells nothing of the node
+    while (!c.open.empty()) {
+        const bool written = c.open.begin()->second.written;
+        set_up_over(c, c.open.begin()->first,
+                    written   ? Outcome::reset
+                    : no_room ? Outcome::not_sent
+                              : Outcome::not_connected,
+                    {});
+    }
+    if (c.testing)
+        test_over(c, came_up ? Outcome::reset : no_room ? Outcome::full : Outcome::not_connected, {});
     if (refused) lose_all(node, "refuses connections");
     else if (!came_up && node.failed_dials >= kVanishedAfter) {
         counts_.vanished += !node.standing.empty();
@@ -226,8 +250,8 @@
         node.watch.stop();
         return;
     }
-    const bool any = std::any_of(node.connections.begin(), node.connections.end(),
-                                 [](const auto& c) { return !c->gone; });
+    const bool any =
+        std::any_of(node.connections.begin(), node.connections.end(), [](const auto& c) { return !c->gone; });
     if (!any) {
         const ServerId id = node.id;
         node.redial = loop_.after(node.redial_wait, [this, id] {
@@ -253,8 +277,9 @@
 
 void RelayNodes::lose_all(Node& node, const char* why) {
     if (node.standing.empty()) return;
-    if (on_remark) on_remark("node " + node.known.uid + " " + why + ": " +
-                             std::to_string(node.standing.size()) + " sessions are over");
+    if (on_remark)
+        on_remark("node " + node.known.uid + " " + why + ": " + std::to_string(node.standing.size()) +
+                  " sessions are over");
     const auto standing = std::move(node.standing);
     node.standing.clear();
     for (const auto& [session, one] : standing) {
@@ -291,17 +316,39 @@
         return;
     }
     Connection* c = idle(*node, true);
-    const bool up = c != nullptr;
+    if (!c && !room()) {
+        // Out of room: shared, with the fewest others.
+        for (const auto& one : node->connections)
+            if (!one->testing && (!c || one->open.size() < c->open.size())) c = one.get();
+        if (!c) {
+            // Nothing has left, and the node is not to blame.
+            loop_.post([this, what] { events_->over(what.session, what.attempt, Outcome::not_sent, {}); });
+            return;
+        }
+        counts_.shared += 1;
+    }
     if (!c) c = &dial(*node);
-    c->set_up = what;
-    c->written = false;
-    if (up) write_set_up(*c);
+    c->open[what.session] = {what, false};
+    if (c->up) write_set_up(*c, what.session);
 }
 
-void RelayNodes::set_up_over(Connection& c, Outcome outcome, const LoadReport& report) {
-    const core::SetUp what = std::move(*c.set_up);
-    c.set_up.reset();
-    c.written = false;
+// Whether one more connection may be opened. An idle one of a node that can do without it makes room.
+bool RelayNodes::room() {
+    if (connections_ < limits_.connections) return true;
+    Connection* oldest = nullptr;
+    for (const auto& [id, node] : nodes_) {
+        if (node->connections.size() == 1 && !node->standing.empty()) continue;
+        for (const auto& c : node->connections)
+            if (c->idle() && c->up && (!oldest || c->used < oldest->used)) oldest = c.get();
+    }
+    if (!oldest) return false;
+    drop(*oldest);
+    return true;
+}
+
+void RelayNodes::set_up_over(Connection& c, SessionId session, Outcome outcome, const LoadReport& report) {
+    const core::SetUp what = std::move(c.open.at(session).what);
+    c.open.erase(session);
     // Never from within a call of the engine's.
     loop_.post([this, session = what.session, attempt = what.attempt, outcome, report] {
         events_->over(session, attempt, outcome, report);
@@ -333,12 +380,14 @@
     NodeMessage m;
     m.type = Type::release, m.session = session, m.cause = relay::kCauseGivenUp;
     for (const auto& c : node->connections) {
-        if (!c->set_up || c->set_up->session != session || c->set_up->attempt != attempt) continue;
-        // Given up in words and by closing: a process that hangs will read neither in time.
-        if (c->written) write(*c, m);
-        c->set_up.reset();
+        const auto it = c->open.find(session);
+        if (it == c->open.end() || it->second.what.attempt != attempt) continue;
+        // Given up in words and, where nothing else is open on it, by closing: a process that hangs reads
+        // neither in time, and an answer that comes all the same finds nobody.
+        if (it->second.written) write(*c, m);
+        c->open.erase(it);
         Connection& one = *c;
-        drop(one);
+        if (one.open.empty()) drop(one);
         keep_up(*node);
         return;
     }
@@ -356,6 +405,10 @@
     }
     Connection* c = idle(*node, true);
     const bool up = c != nullptr;
+    if (!c && !room()) {  // no word of the node
+        loop_.post([this, server] { events_->probed(server, Outcome::full, 0, {}); });
+        return;
+    }
     if (!c) c = &dial(*node);
     c->testing = true;
     c->test = ++last_test_;
@@ -407,7 +460,7 @@
         if (const auto* fault = std::get_if<relay::Fault>(&*result)) {
             counts_.spoilt += 1;
             if (on_remark) on_remark("node " + c.node.known.uid + ": " + fault->why);
-            return closed(c, true, false);
+            return closed(c, true, io::Closing::reset);
         }
         take(c, std::get<NodeMessage>(*result));
     }
@@ -424,7 +477,8 @@
 
 void RelayNodes::take(Connection& c, const NodeMessage& m) {
     Node& node = c.node;
-    const bool ours = c.set_up && c.written && c.set_up->session == m.session;
+    const auto open = c.open.find(m.session);
+    const bool ours = open != c.open.end() && open->second.written;
     const auto standing = node.standing.find(m.session);
     switch (m.type) {
         case Type::answer: {
@@ -435,11 +489,10 @@
             const std::string* sdp = m.find(Code::sdp);
             if (!sdp || !relay::utf8(*sdp)) {
                 counts_.spoilt += 1;
-                return closed(c, true, false);
+                return closed(c, true, io::Closing::reset);
             }
-            const core::SetUp what = std::move(*c.set_up);
-            c.set_up.reset();
-            c.written = false;
+            const core::SetUp what = std::move(open->second.what);
+            c.open.erase(open);
             node.standing[what.session] = {what.attempt};
             keep_up(node);
             core::Media media;
@@ -455,7 +508,7 @@
                                         : cause == relay::kCauseError   ? Outcome::error
                                         : cause == relay::kCauseNotSent ? Outcome::not_sent
                                                                         : Outcome::reset;
-                return set_up_over(c, outcome, report);
+                return set_up_over(c, m.session, outcome, report);
             }
             NodeMessage heard;
             heard.type = Type::released, heard.session = m.session;
--- a/src/nodes/relay/nodes.hpp
+++ b/src/nodes/relay/nodes.hpp
@@ -1,5 +1,6 @@
 // Media nodes over the platform's binary protocol: a core::NodePort. One open set-up a connection, so that a
-// spoilt answer or a close takes down that one alone; idle connections are used again. What an ended
+// spoilt answer or a close takes down that one alone, and shared only when there is no room for more; idle
+// connections are used again. What an ended
 // connection means:
 //
 //   never came up                          not_connected: nothing left this process
@@ -26,14 +27,15 @@
 namespace ivyfield::nodes {
 
 struct RelayLimits {
-    io::Time connect_timeout = 250;  // from the settings
-    io::Time idle_close = 15000;     // nodes close idle connections after this
-    std::size_t connections = 256;   // to all nodes together
+    io::Time connect_timeout = 250;   // from the settings
+    io::Time idle_close = 15000;      // nodes close idle connections after this
+    std::size_t connections = 256;    // to all nodes together
     std::vector<std::string> report;  // fields of a report, in the module's order
 };
 
 struct RelayCounts {
-    std::uint64_t dials = 0, set_ups = 0, tests = 0, spoilt = 0, resets = 0, stray = 0, vanished = 0;
+    std::uint64_t dials = 0, set_ups = 0, tests = 0, spoilt = 0, resets = 0, stray = 0, vanished = 0,
+                  shared = 0;
 };
 
 struct RelayNode {
@@ -78,15 +80,16 @@
     void opened(Connection& c);
     void heard(Connection& c, std::string_view bytes);
     void take(Connection& c, const relay::NodeMessage& message);
-    void closed(Connection& c, bool came_up, bool refused);
+    void closed(Connection& c, bool came_up, io::Closing why);
     void drop(Connection& c);
-    void set_up_over(Connection& c, Outcome outcome, const LoadReport& report);
+    void set_up_over(Connection& c, SessionId session, Outcome outcome, const LoadReport& report);
+    bool room();
     void test_over(Connection& c, Outcome outcome, const LoadReport& report);
     void stands_no_more(Node& node, SessionId session, Outcome outcome, const LoadReport& report);
     void lose_all(Node& node, const char* why);
     void keep_up(Node& node);
     void watch(Node& node);
-    void write_set_up(Connection& c);
+    void write_set_up(Connection& c, SessionId session);
     LoadReport report_of(const relay::NodeMessage& message) const;
     void sweep();
 
--- a/src/relay/message.hpp
+++ b/src/relay/message.hpp
@@ -24,7 +24,7 @@
 
 // Causes that the protocol names.
 constexpr int kCausePlain = 0, kCauseWithReport = 1;  // of a test: what it asks for
-constexpr int kCauseFailed = 0, kCausePassed = 1;      // of its answer
+constexpr int kCauseFailed = 0, kCausePassed = 1;     // of its answer
 constexpr int kCauseGivenUp = 16, kCauseCancelled = 31, kCauseFull = 34, kCauseReset = 41, kCauseBusy = 42,
               kCauseError = 47, kCauseNotSent = 102;
 
@@ -56,8 +56,8 @@
 // Cuts a stream of bytes into lines. Keeps at most one message's bytes.
 class LineDecoder {
   public:
-    // Takes bytes off the front of `bytes`; a line when one is whole. A line longer than a message may be is a
-    // fault, and the decoder is of no more use then.
+    // Takes bytes off the front of `bytes`; a line when one is whole. A line longer than a message may be is
+    // a fault, and the decoder is of no more use then.
     std::optional<std::string> next(std::string_view& bytes);
     bool too_long() const { return too_long_; }
     bool partial() const { return !kept_.empty(); }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -18,7 +18,8 @@
             text.remove_prefix(std::min(end + 1, text.size()));
             if (line.empty() || line == "\r") continue;
             const std::size_t eq = line.find('=');
-            if (eq == std::string_view::npos) throw SettingsError("setting without '=': " + std::string(line));
+            if (eq == std::string_view::npos)
+                throw SettingsError("setting without '=': " + std::string(line));
             values_[std::string(line.substr(0, eq))] = std::string(line.substr(eq + 1));
         }
     }
@@ -37,7 +38,8 @@
     }
     bool flag(const std::string& key, bool absent) const {
         const std::string value = text(key, absent ? "true" : "false");
-        if (value != "true" && value != "false") throw SettingsError("setting is neither true nor false: " + key);
+        if (value != "true" && value != "false")
+            throw SettingsError("setting is neither true nor false: " + key);
         return value == "true";
     }
     std::vector<std::string> list(const std::string& key) const {
@@ -130,7 +132,8 @@
     s.join_part = v.number(f + "shared_adds", 1);
     s.rung_kb = v.numbers(f + "rung_kb");
     s.rung_worth = v.numbers(f + "rung_worth");
-    if (s.rung_kb.size() != s.rung_worth.size()) throw SettingsError("rung_kb and rung_worth differ in length");
+    if (s.rung_kb.size() != s.rung_worth.size())
+        throw SettingsError("rung_kb and rung_worth differ in length");
     s.short_points = v.number(f + "stall", 0);
     s.notes_late = v.number(f + "seen_after_ms", 0);
     s.link_note_every = v.number(f + "told_every_ms", 0);
--- /dev/null
+++ b/tests/relay/codec_test.cpp
@@ -0,0 +1,198 @@
+// Both forms of the platform's protocol, in all cuts and with damage.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "relay/message.hpp"
+
+namespace ivyfield::relay {
+namespace {
+
+const char* kSetUp =
+    R"({"type":"setup","id":"9b1f03aa5c7e2d41","fields":{"class":"paid","left":1500},)"
+    R"("sdp":"9d41\r\nc=IN IP4 10.4.7.9\r\n"})";
+
+TEST(RelayLine, ReadsASetUp) {
+    const auto line = read_line(kSetUp);
+    const auto& m = std::get<ViewerMessage>(line);
+    EXPECT_EQ(m.type, Type::setup);
+    EXPECT_EQ(m.session, 0x9b1f03aa5c7e2d41u);
+    EXPECT_EQ(m.fields.at("class"), "paid");
+    EXPECT_EQ(m.fields.at("left"), "1500");
+    EXPECT_EQ(*m.sdp, "9d41\r\nc=IN IP4 10.4.7.9\r\n");
+}
+
+TEST(RelayLine, WhatIsWrittenIsReadAgain) {
+    ViewerMessage m;
+    m.type = Type::release, m.id = "00000000000000ff", m.cause = 34, m.fields["wait"] = "20";
+    const std::string text = write_line(m);
+    ASSERT_EQ(text.back(), '\n');
+    const auto line = read_line(std::string_view(text).substr(0, text.size() - 1));
+    const auto& back = std::get<ViewerMessage>(line);
+    EXPECT_EQ(back.cause, 34);
+    EXPECT_EQ(back.session, 255u);
+    EXPECT_EQ(back.fields.at("wait"), "20");
+    EXPECT_FALSE(back.sdp);
+}
+
+TEST(RelayLine, FaultsNameTheirReason) {
+    const std::pair<const char*, const char*> cases[] = {
+        {"", "not a JSON object"},
+        {"[1]", "not a JSON object"},
+        {"{\"type\":\"setup\"}", "no id"},
+        {"{\"id\":7}", "no id"},
+        {"{\"id\":\"7\"}", "id is not 16 hex digits"},
+        {"{\"id\":\"-b1f03aa5c7e2d41\"}", "id is not 16 hex digits"},
+        {"{\"id\":\"9b1f03aa5c7e2d41\"}", "no type"},
+        {"{\"id\":\"9b1f03aa5c7e2d41\",\"type\":\"sing\"}", "unknown type"},
+        {"{\"id\":\"9b1f03aa5c7e2d41\",\"type\":\"setup\",\"fields\":[]}", "fields is not an object"},
+        {"{\"id\":\"9b1f03aa5c7e2d41\",\"type\":\"setup\",\"fields\":{\"a\":{}}}",
+         "field a is neither text nor number"},
+        {"{\"id\":\"9b1f03aa5c7e2d41\",\"type\":\"release\",\"cause\":-1}",
+         "cause is not a number from 0 to 255"},
+        {"{\"id\":\"9b1f03aa5c7e2d41\",\"type\":\"setup\",\"sdp\":1}", "sdp is not text"},
+        {"{\"id\":\"9b1f03aa5c7e2d41\",\"type\":\"setup\",\"sdp\":\"\xff\"}", "not a JSON object"}};
+    for (const auto& [text, why] : cases) {
+        const auto line = read_line(text);
+        ASSERT_TRUE(std::holds_alternative<Fault>(line)) << text;
+        EXPECT_EQ(std::get<Fault>(line).why, why) << text;
+    }
+    EXPECT_TRUE(std::holds_alternative<Fault>(read_line(std::string(kLargestMessage, '['))));
+}
+
+TEST(RelayLine, ComesInAnyCut) {
+    const std::string all = std::string(kSetUp) + "\n" + kSetUp + "\n";
+    for (std::size_t cut = 0; cut <= all.size(); ++cut) {
+        LineDecoder decoder;
+        int lines = 0;
+        for (std::string_view part :
+             {std::string_view(all).substr(0, cut), std::string_view(all).substr(cut)}) {
+            while (!part.empty()) {
+                if (const auto line = decoder.next(part)) lines += *line == kSetUp;
+            }
+        }
+        EXPECT_EQ(lines, 2) << cut;
+        EXPECT_FALSE(decoder.partial());
+    }
+}
+
+TEST(RelayLine, NothingLongerThanAMessageIsKept) {
+    LineDecoder decoder;
+    const std::string piece(1000, 'x');
+    for (int k = 0; k < 100 && !decoder.too_long(); ++k) {
+        std::string_view bytes = piece;
+        EXPECT_FALSE(decoder.next(bytes));
+    }
+    EXPECT_TRUE(decoder.too_long());
+    EXPECT_FALSE(decoder.partial());
+}
+
+NodeMessage set_up() {
+    NodeMessage m;
+    m.type = Type::setup, m.session = 0x9b1f03aa5c7e2d41u;
+    m.parameters = {{33, "paid"}, {35, "1500"}, {41, "7f3a9c21e0b4d655"}, {55, "2"}, {63, "v=0\r\n"}};
+    return m;
+}
+
+TEST(RelayFrame, IsLaidOutAsWrittenDown) {
+    NodeMessage m;
+    m.type = Type::release, m.session = 0x0102030405060708u, m.cause = 34;
+    EXPECT_EQ(write_frame(m), std::string("\0\x0d\x0c\1\2\3\4\5\6\7\x08\x3d\0\1\x22", 15));
+}
+
+TEST(RelayFrame, ComesInAnyCut) {
+    const std::string all = write_frame(set_up()) + write_frame(set_up());
+    for (std::size_t cut = 0; cut <= all.size(); ++cut) {
+        FrameDecoder decoder;
+        int messages = 0;
+        for (std::string_view part :
+             {std::string_view(all).substr(0, cut), std::string_view(all).substr(cut)}) {
+            while (!part.empty()) {
+                const auto result = decoder.next(part);
+                if (!result) continue;
+                const auto& m = std::get<NodeMessage>(*result);
+                EXPECT_EQ(m.session, 0x9b1f03aa5c7e2d41u);
+                EXPECT_EQ(*m.find(Code::sdp), "v=0\r\n");
+                messages += 1;
+            }
+        }
+        EXPECT_EQ(messages, 2) << cut;
+    }
+}
+
+TEST(RelayFrame, FaultsNameTheirReason) {
+    const auto fault = [](const std::string& text) {
+        FrameDecoder decoder;
+        std::string_view bytes = text;
+        const auto result = decoder.next(bytes);
+        return result && std::holds_alternative<Fault>(*result) ? std::get<Fault>(*result).why : "";
+    };
+    const std::string head("\1\0\0\0\0\0\0\0\7", 9);
+    const auto frame = [&](const std::string& parameters) {
+        const std::size_t n = head.size() + parameters.size();
+        return std::string{static_cast<char>(n >> 8), static_cast<char>(n)} + head + parameters;
+    };
+    EXPECT_EQ(fault(std::string("\0\0", 2)), "a message of 0 bytes");
+    EXPECT_EQ(fault("\xff\xff"), "a message of 65535 bytes");
+    EXPECT_EQ(fault(frame("!\1")), "a parameter is cut short");
+    EXPECT_EQ(fault(frame(std::string("!\0\5abc", 6))), "parameter 33 is longer than its message");
+    EXPECT_EQ(fault(frame(std::string("=\0\2ab", 5))), "the cause is not one byte");
+    EXPECT_EQ(fault(frame(std::string("!\0\1a!\0\1a", 8))), "parameter 33 comes twice");
+    std::string odd = frame("");
+    odd[2] = 99;
+    EXPECT_EQ(fault(odd), "unknown type 99");
+    EXPECT_EQ(fault(frame("")), "");
+}
+
+TEST(RelayCodecs, DamageIsAFaultOrAMessageAndNothingElse) {
+    std::mt19937 random(7);
+    const auto draw = [&](std::size_t n) { return static_cast<std::size_t>(random() % n); };
+    for (int k = 0; k < 20000; ++k) {
+        std::string frame = write_frame(set_up()), line = std::string(kSetUp) + "\n";
+        for (std::string* text : {&frame, &line})
+            for (std::size_t n = 1 + draw(4); n > 0; --n) {
+                const std::size_t at = draw(text->size());
+                if (draw(3) == 0) text->erase(at, 1 + draw(8));
+                else (*text)[at] = static_cast<char>(random());
+                if (text->empty()) text->push_back('x');
+            }
+        FrameDecoder frames;
+        std::string_view bytes = frame;
+        while (!bytes.empty()) {
+            const auto result = frames.next(bytes);
+            if (result && std::holds_alternative<Fault>(*result)) break;
+        }
+        const auto read = read_line(line);
+        if (const auto* m = std::get_if<ViewerMessage>(&read)) {
+            EXPECT_TRUE(!m->sdp || utf8(*m->sdp));
+            EXPECT_FALSE(write_line(*m).empty());
+        }
+    }
+}
+
+TEST(RelayText, Utf8IsWhatJsonCarries) {
+    for (const char* good : {"", "a", "\xc3\xa9", "\xe2\x82\xac", "\xf0\x9f\x98\x80", "\xef\xbf\xbf"}) {
+        EXPECT_TRUE(utf8(good)) << good;
+        ViewerMessage m;
+        m.id = "0000000000000001", m.sdp = good;
+        EXPECT_NO_THROW(write_line(m));
+    }
+    for (const char* bad :
+         {"\xff", "\xc3", "\xc0\x80", "\xe2\x82", "\xed\xa0\x80", "\xf4\x90\x80\x80", "a\x80"})
+        EXPECT_FALSE(utf8(bad));
+}
+
+TEST(RelayText, PairsAndNumbers) {
+    const auto pairs = read_pairs("x0:12;x1:40;queue:3");
+    ASSERT_TRUE(pairs);
+    EXPECT_EQ(pairs->at("x1"), "40");
+    EXPECT_FALSE(read_pairs("x0:12;;"));
+    EXPECT_FALSE(read_pairs("x0"));
+    EXPECT_FALSE(read_pairs("x0:1;x0:2"));
+    EXPECT_EQ(read_number("-2.5"), -2.5);
+    for (const char* bad : {"", "x", "1x", "nan", "inf", "1e999", " 1"})
+        EXPECT_FALSE(read_number(bad)) << bad;
+}
+
+}  // namespace
+}  // namespace ivyfield::relay
--- /dev/null
+++ b/tests/relay/relay_test.cpp
@@ -0,0 +1,506 @@
+// The director of the platform end to end on the virtual world: viewers, nodes and name server that fail.
+#include "rig.hpp"
+
+namespace ivyfield::relaytest {
+namespace {
+
+TEST(Relay, ServesASessionFromSetUpToItsEnd) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    v.say(R"({"type":"ping","id":"0000000000000001","fields":{},"cause":0})");
+    v.say(setup_line(0xabc, "paid"));
+    rig.run(200);
+    ASSERT_EQ(v.of(Type::pong).size(), 1u);
+    EXPECT_EQ(v.of(Type::pong)[0].cause, 1);
+    ASSERT_EQ(v.of(Type::answer).size(), 1u);
+    EXPECT_EQ(v.of(Type::answer)[0].id, "0000000000000abc");
+    EXPECT_EQ(*v.of(Type::answer)[0].sdp, "answer to offer 0000000000000abc");
+    const auto sent = rig.nodes[0]->of(Type::setup);
+    ASSERT_EQ(sent.size(), 1u);
+    EXPECT_EQ(sent[0].session, 0xabcu);
+    EXPECT_EQ(*sent[0].find(Code::cls), "paid");
+    EXPECT_EQ(*sent[0].find(Code::title), "7f3a9c21e0b4d655");
+    EXPECT_EQ(*sent[0].find(Code::sdp), "offer 0000000000000abc");
+    ASSERT_TRUE(sent[0].find(Code::rung));
+    EXPECT_LE(std::stoi(*sent[0].find(Code::wait)), 4000);
+    // Its end reaches the viewer, once.
+    rig.nodes[0]->links.back().send(Type::release, 0xabc, 16);
+    rig.nodes[0]->links.back().send(Type::release, 0xabc, 16);
+    rig.run(200);
+    ASSERT_EQ(v.of(Type::release).size(), 1u);
+    EXPECT_EQ(rig.director->engine().open_sessions(), 0u);
+}
+
+TEST(Relay, TestsAskForAReport) {
+    Rig rig;
+    rig.viewer().say(setup_line(1, "paid"));
+    rig.run(200);
+    const auto tests = rig.nodes[0]->of(Type::ping);
+    ASSERT_FALSE(tests.empty());
+    EXPECT_EQ(tests[0].cause, 1);
+}
+
+TEST(Relay, SessionsHandedOverNameNoBoundToTheirWaitAndAreKept) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    v.say(setup_line(5, "paid", 4294967, "home:0;copies:12;top:1;viewer:00000000b4d65521;at:s-0"));
+    v.say(setup_line(5, "paid", 4294967, "home:0;copies:12;top:1;viewer:00000000b4d65521;at:s-0"));
+    v.say(setup_line(6, "paid", 4294967, "home:0;copies:12;top:1;viewer:00000000b4d65521;at:s-9"));
+    v.say(setup_line(7, "paid", 4294967));
+    rig.run(300);
+    EXPECT_EQ(rig.director->engine().playing(), 1u);
+    // A node that is not listed, and a wait without bound for one that does not play, are turned away.
+    ASSERT_EQ(v.of(Type::release).size(), 2u);
+    EXPECT_GE(rig.nodes[0]->open_links(), 1u) << "where sessions stand a connection is kept";
+    rig.nodes[0]->links.back().send(Type::release, 5, 41);
+    rig.run(300);
+    EXPECT_EQ(v.of(Type::release).size(), 3u);
+}
+
+TEST(Relay, AViewerGivesUpAndEndsSessions) {
+    Rig rig;
+    rig.nodes[0]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+    };
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid"));
+    rig.run(200);
+    v.say(release_line(1, 16));
+    rig.run(200);
+    EXPECT_TRUE(v.heard.empty()) << "no answer is owed";
+    EXPECT_LT(rig.nodes[0]->open_links(), rig.nodes[0]->links.size()) << "given up at the node, by closing";
+    EXPECT_EQ(rig.director->engine().open_sessions(), 0u);
+    // One that stands, from another connection.
+    rig.nodes[0]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::setup) link.send(Type::answer, m.session, -1, {{63, "x"}});
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+    };
+    v.say(setup_line(2, "free one"));
+    rig.run(200);
+    ASSERT_EQ(v.of(Type::answer).size(), 1u);
+    Viewer& other = rig.viewer();
+    other.say(release_line(2, 31));
+    rig.run(200);
+    EXPECT_EQ(other.of(Type::released).size(), 1u);
+    EXPECT_EQ(v.of(Type::release).size(), 0u);
+    EXPECT_EQ(rig.director->engine().open_sessions(), 0u);
+    ASSERT_FALSE(rig.nodes[0]->of(Type::release).empty());
+    EXPECT_EQ(rig.nodes[0]->of(Type::release).back().session, 2u);
+}
+
+TEST(Relay, AViewerThatClosesIsOwedNothing) {
+    Rig rig;
+    rig.nodes[0]->react = nullptr;
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "free one"));
+    rig.run(120);
+    v.stream.reset();
+    rig.run(100);
+    EXPECT_EQ(rig.director->engine().open_sessions(), 0u);
+    EXPECT_EQ(rig.director->front().open(), 0u);
+}
+
+TEST(Relay, ARepeatedNumberDisturbsNeitherAnswer) {
+    Rig rig;
+    rig.nodes[0]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+    };
+    Viewer &v = rig.viewer(), &other = rig.viewer();
+    v.say(setup_line(1, "paid"));
+    rig.run(200);
+    other.say(setup_line(1, "paid"));
+    other.say(release_line(1, 16));
+    rig.run(100);
+    EXPECT_EQ(other.of(Type::answer).size(), 0u);
+    EXPECT_EQ(other.of(Type::release).size(), 1u);
+    EXPECT_FALSE(other.open) << "it would give up what is another's";
+    EXPECT_EQ(rig.director->front().open(), 1u);
+    rig.nodes[0]->links.front().send(Type::answer, 1, -1, {{63, "y"}});
+    rig.run(100);
+    EXPECT_EQ(v.of(Type::answer).size(), 1u);
+}
+
+TEST(Relay, BadSetUpsAreTurnedAwayAtOnce) {
+    Rig rig;
+    const std::string good = "home:0;copies:12;top:1;viewer:00000000b4d65521";
+    const std::vector<std::string> lines = {
+        setup_line(1, "gold"),
+        setup_line(1, "paid", -5),
+        setup_line(1, "paid", 999999),
+        setup_line(1, "paid", 4000, "home:-1;copies:12;top:1;viewer:00000000b4d65521"),
+        setup_line(1, "paid", 4000, "home:12;copies:12;top:1;viewer:00000000b4d65521"),
+        setup_line(1, "paid", 4000, "home:0;copies:1e9;top:1;viewer:00000000b4d65521"),
+        setup_line(1, "paid", 4000, "home:0;copies:12;top:7;viewer:00000000b4d65521"),
+        setup_line(1, "paid", 4000, "home:0;copies:12;top:1;viewer:x"),
+        setup_line(1, "paid", 4000, ";;"),
+        setup_line(1, "paid", 4000, good, R"(,"tenant":"nobody")"),
+        R"({"type":"setup","id":"0000000000000001","fields":{}})",
+        R"({"type":"sing","id":"0000000000000001"})"};
+    for (const std::string& line : lines) {
+        Viewer& v = rig.viewer();
+        v.say(line);
+        rig.run(50);
+        ASSERT_EQ(v.heard.size(), 1u) << line;
+        EXPECT_EQ(v.heard[0].type, Type::release) << line;
+        EXPECT_NE(v.heard[0].cause, 34) << line;
+    }
+    for (const std::string& line : {std::string("noise"), std::string("{}"), std::string("\xff\xfe"),
+                                    std::string(20000, 'x'), std::string(R"({"type":"setup"})")}) {
+        Viewer& v = rig.viewer();
+        v.say(line);
+        rig.run(100);
+        EXPECT_FALSE(v.open) << line.substr(0, 20);
+    }
+    EXPECT_TRUE(rig.nodes[0]->of(Type::setup).empty());
+    EXPECT_EQ(rig.director->engine().counts().taken, 0u);
+}
+
+TEST(Relay, SilentConnectionsByTheHundredLeaveRoomForOthers) {
+    Rig rig(1, 64);
+    for (int k = 0; k < 300; ++k) rig.viewer();
+    rig.run(50);
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid"));
+    for (int k = 0; k < 50; ++k) rig.viewer();
+    rig.run(300);
+    EXPECT_EQ(v.of(Type::answer).size(), 1u);
+    EXPECT_LE(rig.director->front().connections(), 64u * 2 / 5);
+}
+
+TEST(Relay, AnswersThatCanNotBeReadEndThatSetUpAlone) {
+    const std::vector<std::string> spoilt = {std::string("\xff\xff garbage", 10),
+                                             std::string("\0\x0d\x63\0\0\0\0\0\0\0\1=\0\1\1", 15),
+                                             std::string("\0\x0c\x09\0\0\0\0\0\0\0\1?\0\5", 14)};
+    for (const std::string& bytes : spoilt) {
+        Rig rig;
+        std::vector<std::pair<Node::Link*, std::uint64_t>> waiting;
+        rig.nodes[0]->react = [&](auto& link, const auto& m) {
+            if (m.type == Type::ping) return link.send(Type::pong, m.session, 1);
+            if (m.type == Type::setup) waiting.emplace_back(&link, m.session);
+        };
+        Viewer& v = rig.viewer();
+        v.say(setup_line(1, "paid"));
+        rig.run(100);
+        v.say(setup_line(2, "paid"));
+        rig.run(100);
+        ASSERT_EQ(waiting.size(), 2u);
+        ASSERT_NE(waiting[0].first, waiting[1].first) << "one open set-up a connection";
+        waiting[0].first->stream->write(bytes);
+        rig.run(100);
+        // It might have run: not refused, not sent again.
+        ASSERT_EQ(v.of(Type::release).size(), 1u);
+        EXPECT_EQ(v.of(Type::release)[0].session, 1u);
+        EXPECT_EQ(v.of(Type::release)[0].cause, 47);
+        waiting[1].first->send(Type::answer, 2, -1, {{63, "x"}});
+        rig.run(1000);
+        EXPECT_EQ(v.of(Type::answer).size(), 1u);
+        EXPECT_EQ(rig.nodes[0]->of(Type::setup).size(), 2u);
+    }
+}
+
+TEST(Relay, ADescriptionThatIsNoTextIsASpoiltAnswer) {
+    Rig rig;
+    rig.nodes[0]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+        if (m.type == Type::setup) link.send(Type::answer, m.session, -1, {{63, "\xff\xfe"}});
+    };
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid"));
+    rig.run(500);
+    EXPECT_EQ(v.of(Type::answer).size(), 0u);
+    EXPECT_EQ(v.of(Type::release).size(), 1u);
+}
+
+TEST(Relay, MoreThanBelongsToAnAnswerHurtsNobody) {
+    Rig rig;
+    rig.nodes[0]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+        if (m.type != Type::setup) return;
+        link.send(Type::answer, 0xdead, -1, {{63, "ahead"}});
+        link.send(Type::answer, m.session, -1, {{63, "x"}});
+        link.send(Type::answer, m.session, -1, {{63, "again"}});
+    };
+    Viewer& v = rig.viewer();
+    for (std::uint64_t id = 1; id <= 5; ++id) v.say(setup_line(id, "paid"));
+    rig.run(1000);
+    EXPECT_EQ(v.heard.size(), 5u);
+    EXPECT_EQ(v.of(Type::answer).size(), 5u);
+}
+
+TEST(Relay, FullIsProofAndAFreeClassGoesOnElsewhere) {
+    Rig rig(2);
+    const auto full = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+        if (m.type == Type::setup) link.send(Type::release, m.session, 34);
+    };
+    rig.nodes[0]->react = full;
+    Viewer& v = rig.viewer();
+    for (std::uint64_t id = 1; id <= 6; ++id) v.say(setup_line(id, "paid"));
+    rig.run(1500);
+    EXPECT_EQ(v.of(Type::answer).size(), 6u);
+}
+
+TEST(Relay, ASetUpThatTimesOutIsGivenUpAtItsNodeBeforeTheNextTry) {
+    Rig rig(2);
+    int silent = 0;
+    const auto mute = [&silent](auto& link, const auto& m) {
+        if (m.type == Type::ping) return link.send(Type::pong, m.session, 1);
+        if (m.type != Type::setup) return;
+        if (silent++ == 0) return;
+        link.send(Type::answer, m.session, -1, {{63, "x"}});
+    };
+    rig.nodes[0]->react = rig.nodes[1]->react = mute;
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "free one"));
+    rig.run(1500);
+    ASSERT_EQ(v.of(Type::answer).size(), 1u);
+    EXPECT_EQ(rig.nodes[0]->of(Type::release).size() + rig.nodes[1]->of(Type::release).size(), 1u);
+}
+
+TEST(Relay, ADeadProcessEndsItsSessionsAndAnUnusedResetDoesNot) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid"));
+    rig.run(200);
+    ASSERT_EQ(v.of(Type::answer).size(), 1u);
+    // Its connections are reset, but it goes on: dialled again, nothing is over.
+    for (auto& link : rig.nodes[0]->links) link.stream.reset();
+    rig.run(300);
+    EXPECT_EQ(v.of(Type::release).size(), 0u);
+    EXPECT_EQ(rig.director->engine().playing(), 1u);
+    // The process dies: nobody listens.
+    rig.nodes[0]->listener.reset();
+    for (auto& link : rig.nodes[0]->links) link.stream.reset();
+    rig.run(300);
+    EXPECT_EQ(v.of(Type::release).size(), 1u);
+    EXPECT_EQ(rig.director->engine().open_sessions(), 0u);
+}
+
+TEST(Relay, AMachineThatVanishesIsNoticedAndOneThatHangsIsNot) {
+    Rig rig;
+    rig.nodes[0]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+        if (m.type == Type::setup) link.send(Type::answer, m.session, -1, {{63, "x"}});
+    };
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid"));
+    rig.run(200);
+    ASSERT_EQ(v.of(Type::answer).size(), 1u);
+    rig.nodes[0]->react = nullptr;  // hangs: connections still come up
+    rig.run(20000);
+    EXPECT_EQ(rig.director->engine().playing(), 1u);
+    EXPECT_LE(rig.nodes[0]->open_links(), 3u);
+    rig.nodes[0]->listener->pause();  // no connection comes up
+    rig.run(7500);
+    EXPECT_EQ(v.of(Type::release).size(), 1u);
+    EXPECT_EQ(rig.director->engine().open_sessions(), 0u);
+}
+
+TEST(Relay, EndsAreToldOnAnotherConnectionOrOnTheNext) {
+    Rig rig;
+    Viewer &v = rig.viewer(), &other = rig.viewer();
+    v.say(setup_line(1, "paid"));
+    v.say(setup_line(2, "paid"));
+    other.say(setup_line(3, "paid"));
+    rig.run(500);
+    v.stream.reset();
+    rig.run(50);
+    EXPECT_EQ(rig.director->engine().playing(), 3u) << "a session belongs to no connection";
+    rig.nodes[0]->links.back().send(Type::release, 1, 16);
+    rig.run(100);
+    ASSERT_EQ(other.of(Type::release).size(), 1u);
+    EXPECT_EQ(other.of(Type::release)[0].session, 1u);
+    other.stream.reset();
+    rig.run(50);
+    rig.nodes[0]->links.back().send(Type::release, 2, 16);
+    rig.run(100);
+    Viewer& next = rig.viewer();
+    next.say(setup_line(4, "paid"));
+    rig.run(300);
+    ASSERT_EQ(next.of(Type::release).size(), 1u);
+    EXPECT_EQ(next.of(Type::release)[0].session, 2u);
+}
+
+TEST(Relay, OutOfConnectionsSetUpsShareThem) {
+    Rig rig(1, 16);
+    rig.nodes[0]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+    };
+    Viewer& v = rig.viewer();
+    for (std::uint64_t id = 1; id <= 30; ++id) v.say(setup_line(id, "free one"));
+    rig.run(300);
+    EXPECT_GT(rig.nodes[0]->of(Type::setup).size(), 8u);
+    EXPECT_LE(rig.director->nodes().connections(), 8u);
+    EXPECT_GT(rig.director->nodes().counts().shared, 0u);
+    rig.run(5000);
+    EXPECT_EQ(v.heard.size(), 30u) << "each is answered, once";
+}
+
+TEST(Relay, NothingNewGoesToANodeThatDrains) {
+    Rig rig(2);
+    rig.listed[0].state = "draining";
+    rig.list(rig.listed);
+    Viewer& v = rig.viewer();
+    for (std::uint64_t id = 1; id <= 5; ++id) v.say(setup_line(id, "paid"));
+    rig.run(1000);
+    EXPECT_EQ(v.of(Type::answer).size(), 5u);
+    EXPECT_TRUE(rig.nodes[0]->of(Type::setup).empty());
+}
+
+TEST(Relay, ANodeThatIsGoneTakesItsSessionsAndItsSuccessorInheritsNothing) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid"));
+    rig.run(200);
+    ASSERT_EQ(v.of(Type::answer).size(), 1u);
+    rig.list({{"s-new", rig.listed[0].address}});
+    EXPECT_EQ(v.of(Type::release).size(), 1u);
+    EXPECT_EQ(rig.director->engine().open_sessions(), 0u);
+    v.say(setup_line(2, "paid"));
+    rig.run(300);
+    EXPECT_EQ(v.of(Type::answer).size(), 2u);
+}
+
+TEST(Relay, NameAnswersThatAreNoneChangeNothing) {
+    Rig rig(2);
+    rig.run(300);
+    const auto taken = [&] { return rig.director->status()["list"]["taken"].get<int>(); };
+    ASSERT_EQ(taken(), 0);
+    rig.names->nodes.pop_back();
+    rig.names->serial = 4;
+    const std::vector<std::function<std::string(std::string)>> faults = {
+        [](std::string) { return ""; },                                          // lost
+        [](std::string s) { return s[0] ^= 1, s; },                              // another id
+        [](std::string s) { return s[2] = static_cast<char>(s[2] | 2), s; },     // cut short
+        [](std::string s) { return s[3] = static_cast<char>(s[3] | 2), s; },     // a failure
+        [](std::string s) { return s[2] = static_cast<char>(s[2] & 0x7f), s; },  // no answer
+        [](std::string s) { return s[13] ^= 2, s; },                             // another question
+        [](std::string s) { return s.substr(0, s.size() / 2); },                 // half
+        [](std::string s) { return s.substr(0, 12); }};
+    for (const auto& fault : faults) {
+        rig.names->spoil = fault;
+        rig.run(1000);
+        EXPECT_EQ(taken(), 0);
+    }
+    rig.names->spoil = nullptr;
+    rig.names->serial = 2;  // older
+    rig.run(1000);
+    EXPECT_EQ(taken(), 0);
+    rig.names->serial = 4;
+    rig.run(600);
+    EXPECT_EQ(taken(), 1);
+    rig.run(1000);
+    EXPECT_EQ(taken(), 1);
+}
+
+TEST(Relay, DamagedNameAnswersAreTakenWholeOrNotAtAll) {
+    const std::string query = discovery::srv_query("_api._tcp.svc.local", 77);
+    std::vector<Listed> nodes;
+    for (int k = 0; k < 5; ++k) nodes.push_back({"s-" + std::to_string(k), {"10.0.0.1", 5060}});
+    const std::string good = dns_answer(query, 9, nodes);
+    std::string fault;
+    const auto whole = discovery::read_srv(good, "_api._tcp.svc.local", 77, fault);
+    ASSERT_TRUE(whole) << fault;
+    EXPECT_EQ(whole->serial, 9u);
+    ASSERT_EQ(whole->members.size(), 5u);
+    const discovery::Member& m = whole->members.at("s-3");
+    EXPECT_EQ(m.zone, "room");
+    EXPECT_EQ(m.weight, 4);
+    EXPECT_EQ(m.cell, 2);
+    EXPECT_EQ(m.kind, "std");
+    for (std::size_t cut = 0; cut < good.size(); ++cut)
+        EXPECT_FALSE(
+            discovery::read_srv(std::string_view(good).substr(0, cut), "_api._tcp.svc.local", 77, fault));
+    std::mt19937 random(3);
+    for (int k = 0; k < 20000; ++k) {
+        std::string bad = good;
+        for (int n = 0; n < 3; ++n) bad[random() % bad.size()] = static_cast<char>(random());
+        discovery::read_srv(bad, "_api._tcp.svc.local", 77, fault);
+    }
+}
+
+TEST(Relay, AReloadMovesToTheOtherNameServerAndTheNumbersGoOn) {
+    Rig rig(2);
+    rig.run(300);
+    const io::Address other{"127.0.0.1", 5301};
+    NameServer second(rig.names_loop, other, 4, {rig.listed[0]});
+    rig.names->socket.reset();
+    rig.director->reload(config::read_relay_config(config_text(rig.listed, other.text())));
+    rig.run(600);
+    EXPECT_GT(second.asked, 0);
+    EXPECT_EQ(rig.director->status()["list"]["taken"].get<int>(), 1);
+}
+
+TEST(Relay, StopsWhenAllThatItTookIsAnswered) {
+    Rig rig;
+    rig.nodes[0]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+    };
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid", 2000));
+    rig.run(100);
+    bool done = false;
+    rig.director->stop([&] { done = true; });
+    rig.run(500);
+    Viewer& late = rig.viewer();
+    late.say(setup_line(2, "free one", 2000));
+    rig.run(400);
+    EXPECT_FALSE(done);
+    rig.run(3000);
+    EXPECT_TRUE(done);
+    EXPECT_EQ(v.heard.size(), 1u);
+    EXPECT_EQ(late.heard.size(), 1u);
+}
+
+TEST(Relay, AttemptsWaitFromTheirOwnSending) {
+    // The second attempt is answered at once: what the module hears must not hold the first one's wait.
+    Rig rig(2);
+    int n = 0;
+    rig.nodes[0]->react = rig.nodes[1]->react = [&n](auto& link, const auto& m) {
+        if (m.type == Type::ping) return link.send(Type::pong, m.session, 1);
+        if (m.type == Type::setup && n++ > 0) link.send(Type::answer, m.session, -1, {{63, "x"}});
+    };
+    Viewer& v = rig.viewer();
+    std::vector<core::SessionRecord> ends;
+    rig.director->engine().on_end = [&](const core::SessionRecord& r) { ends.push_back(r); };
+    v.say(setup_line(1, "free one"));
+    rig.run(1500);
+    v.say(release_line(1, 31));
+    rig.run(100);
+    ASSERT_EQ(ends.size(), 1u);
+    EXPECT_EQ(ends[0].attempts, 2);
+    EXPECT_EQ(ends[0].tries[0].second, "timed out");
+}
+
+TEST(RelayConfig, FaultsNameTheirPlace) {
+    const std::string good = config_text({{"s-0", {"127.0.0.1", 9001}}}, "127.0.0.1:5300");
+    const config::RelayConfig c = config::read_relay_config(good);
+    EXPECT_EQ(c.classes[1], "free one");
+    EXPECT_EQ(c.settings.classes[1].name, "free_one");
+    EXPECT_EQ(c.settings.classes[0].patience, 5000);
+    EXPECT_EQ(c.settings.rung_kb, (std::vector<double>{100, 200}));
+    EXPECT_EQ(c.settings.tenants.size(), 1u);
+    EXPECT_EQ(c.known, 3u);
+    EXPECT_EQ(c.members.at("s-0").weight, 4);
+    const auto fault = [&](const std::string& from, const std::string& to) {
+        std::string text = good;
+        text.replace(text.find(from), from.size(), to);
+        try {
+            config::read_relay_config(text);
+        } catch (const std::runtime_error& e) {
+            return std::string(e.what());
+        }
+        return std::string("good");
+    };
+    EXPECT_EQ(fault("\"dns\":\"127.0.0.1:5300\"", "\"dns\":7"), "/dns: not text");
+    EXPECT_EQ(fault("\"8c1f30d27a5be964\"", "\"x\""), "/seed: not 16 hex digits");
+    EXPECT_EQ(fault("\"sockets\":256", "\"sockets\":-1"), "/limits/sockets: out of range: -1");
+    EXPECT_EQ(fault("\"pod_group\":2", "\"pod_group\":\"b\""),
+              "/known/events/0/members/targets/0/pod_group: not a number");
+    EXPECT_EQ(fault("side_effect", "odd"), "/settings: unknown effect of a class: odd");
+    EXPECT_EQ(fault("{\"name\":\"n0\"", "{\"nume\":\"n0\""), "/name: missing");
+    EXPECT_NE(fault("{\"name\":\"n0\"", "\"name\":\"n0\"").find("/: "), std::string::npos);
+}
+
+}  // namespace
+}  // namespace ivyfield::relaytest
