Bad clients' errors blame no server; a whole list of today ends the pace of a restart

After a restart 1,052 set-ups were refused in 2.5 s. A trace of each refusal (streams 0.15, link 0.3, cold 12 of 12 servers) showed the pace of the saved list, not want of room. Module: chill() of every server on ListKind::saved for cold_time. Now ended by a whole list that comes 2 s after birth or later; the relay hands each confirmed answer of the name server on, once a second. A server that did start stays paced. 2. 165 set-ups for titles that no node knows were answered 'error' (a dump of causes before the answer); each counted against the node that said so, kept paid sessions off it, and was tried four times. Module: an error is the server's once that title is known to play or the session plays elsewhere; after two it is given up. 3. Cause 16 with a description before any answer: the session began and ended in one. Taken as a reset it was set up four times and chilled four good nodes. nodes/relay take(): now answered, then over. 4. Start times from Unix time moved by the call's own delay, which would have been a new start each second.

--- a/src/cli/relay.cpp
+++ b/src/cli/relay.cpp
@@ -17,6 +17,7 @@
 constexpr io::Time kTakeOn = 750;
 constexpr io::Time kLookEvery = 20;
 constexpr io::Time kStatusEvery = 5000;
+constexpr io::Time kConfirmEvery = 1000;
 // Bad set-ups are told one by one up to here, then only counted: who sends them does not write our log.
 constexpr int kMostBadTold = 20;
 
@@ -49,7 +50,9 @@
               return limits;
           }(),
           engine_),
-      list_(loop, config.dns, kService, config.known, [this](const auto& all) { listed(all); }),
+      clock_(loop.now() - loop.wall_ms()),
+      list_(loop, config.dns, kService, config.known,
+            [this](const auto& all, bool is_new) { is_new ? listed(all) : confirmed(); }),
       members_(config.members) {
     nodes_.attach(&engine_);
     know();
@@ -114,9 +117,9 @@
     e.id = server_of(m.uid);
     e.position = m.cell;
     e.weight = m.weight;
-    // From Unix time to the loop's clock.
-    if (m.started_unix_ms > 0)
-        e.last_start = std::max(1.0, loop_.now() - (loop_.wall_ms() - m.started_unix_ms));
+    // From Unix time to the loop's clock, always by the same difference: a start that moved by a hair would
+    // be a new start.
+    if (m.started_unix_ms > 0) e.last_start = std::max(1.0, m.started_unix_ms + clock_);
     e.zone = index(config_.zones, m.zone);
     e.kind = index(config_.kinds, m.kind);
     e.state = m.state;
@@ -150,6 +153,16 @@
     remark(log::Level::info, "list", {{"nodes", all.size()}, {"changed", changes.entries.size()}});
 }
 
+// The same list again is news too: it is whole and of this moment, where the one of the start may be old.
+void RelayProcess::confirmed() {
+    if (!began_ || loop_.now() - confirmed_ < kConfirmEvery) return;
+    confirmed_ = loop_.now();
+    ServerList list;
+    list.kind = ListKind::full;
+    for (const auto& [uid, member] : members_) list.entries.push_back(entry_of(member));
+    engine_.take_list(list);
+}
+
 void RelayProcess::reload(const config::RelayConfig& config) {
     config_.dns = config.dns;
     list_.move_to(config.dns);
@@ -228,6 +241,7 @@
             {"list",
              {{"asked", d.asked},
               {"taken", d.taken},
+              {"same", d.same},
               {"bad", d.bad},
               {"older", d.older},
               {"unanswered", d.unanswered},
--- a/src/cli/relay.hpp
+++ b/src/cli/relay.hpp
@@ -29,6 +29,7 @@
   private:
     void begin();
     void listed(const discovery::Members& members);
+    void confirmed();
     ServerEntry entry_of(const discovery::Member& member) const;
     void know();
     void ended(const core::SessionRecord& record);
@@ -41,9 +42,11 @@
     nodes::RelayNodes nodes_;
     core::Engine engine_;
     fronts::RelayFront front_;
+    const io::Time clock_;  // what Unix time is to the loop's clock
     discovery::SrvList list_;
     discovery::Members members_;
     bool began_ = false;
+    io::Time confirmed_ = 0;
     int bad_told_ = 0;
     std::function<void()> done_;
     io::Time stop_asked_ = 0;
--- a/src/discovery/srv/srv.cpp
+++ b/src/discovery/srv/srv.cpp
@@ -226,10 +226,11 @@
         counts_.older += 1;
     } else if (answer->serial == serial_) {
         counts_.same += 1;
+        changed_(answer->members, false);
     } else {
         counts_.taken += 1;
         serial_ = answer->serial;
-        changed_(answer->members);
+        changed_(answer->members, true);
     }
 }
 
--- a/src/discovery/srv/srv.hpp
+++ b/src/discovery/srv/srv.hpp
@@ -48,7 +48,8 @@
 
 class SrvList {
   public:
-    using Changed = std::function<void(const Members& all)>;
+    // Each good answer that is not older than the last: a whole list, new or the same again.
+    using Changed = std::function<void(const Members& all, bool is_new)>;
     // `known`: the number of the last event that `members` holds.
     SrvList(io::Loop& loop, const io::Address& server, const std::string& name, std::uint32_t known,
             Changed changed);
--- a/src/nodes/relay/nodes.cpp
+++ b/src/nodes/relay/nodes.cpp
@@ -475,6 +475,26 @@
     events_->over(session, attempt, outcome, report);
 }
 
+// The answer to a set-up that is open on the connection; false: it can't be used.
+bool RelayNodes::begins(Connection& c, const NodeMessage& m) {
+    const std::string* sdp = m.find(Code::sdp);
+    if (!sdp || !relay::utf8(*sdp)) {
+        counts_.spoilt += 1;
+        closed(c, true, io::Closing::reset);
+        return false;
+    }
+    Node& node = c.node;
+    const auto open = c.open.find(m.session);
+    const core::SetUp what = std::move(open->second.what);
+    c.open.erase(open);
+    node.standing[what.session] = {what.attempt};
+    keep_up(node);
+    core::Media media;
+    media.description = *sdp;
+    events_->started(what.session, what.attempt, media);
+    return true;
+}
+
 void RelayNodes::take(Connection& c, const NodeMessage& m) {
     Node& node = c.node;
     const auto open = c.open.find(m.session);
@@ -486,23 +506,18 @@
                 counts_.stray += 1;
                 return;
             }
-            const std::string* sdp = m.find(Code::sdp);
-            if (!sdp || !relay::utf8(*sdp)) {
-                counts_.spoilt += 1;
-                return closed(c, true, io::Closing::reset);
-            }
-            const core::SetUp what = std::move(open->second.what);
-            c.open.erase(open);
-            node.standing[what.session] = {what.attempt};
-            keep_up(node);
-            core::Media media;
-            media.description = *sdp;
-            events_->started(what.session, what.attempt, media);
+            begins(c, m);
             return;
         }
         case Type::release: {
             const int cause = m.cause.value_or(-1);
             const LoadReport report = report_of(m);
+            // A session whose viewer wanted but a moment more has come to its end with its answer, in one
+            // message: as a reset it blamed good nodes and was set up anew.
+            if (ours && cause == relay::kCauseGivenUp && m.find(Code::sdp)) {
+                if (!begins(c, m)) return;
+                return stands_no_more(node, m.session, Outcome::ended, report);
+            }
             if (ours) {
                 const Outcome outcome = cause == relay::kCauseFull      ? Outcome::full
                                         : cause == relay::kCauseError   ? Outcome::error
--- a/src/nodes/relay/nodes.hpp
+++ b/src/nodes/relay/nodes.hpp
@@ -80,6 +80,7 @@
     void opened(Connection& c);
     void heard(Connection& c, std::string_view bytes);
     void take(Connection& c, const relay::NodeMessage& message);
+    bool begins(Connection& c, const relay::NodeMessage& message);
     void closed(Connection& c, bool came_up, io::Closing why);
     void drop(Connection& c);
     void set_up_over(Connection& c, SessionId session, Outcome outcome, const LoadReport& report);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -66,6 +66,11 @@
 constexpr Time kFullRest = 1000;
 // Share of failed set-ups at which a server gets no paid session; weight of one outcome in that share.
 constexpr double kFailing = 0.15, kFailGain = 0.3;
+// A title is known to play once a server has played it; so many are remembered. Until then an error may be
+// the request's own fault (a title that no server knows): it is held against the server only when the session
+// plays elsewhere, and after so many the session is given up, since its attempts come out of everyone's
+// budget.
+constexpr std::size_t kTitles = 10000, kErrors = 2;
 // A success forgives less than a failure adds, and failures weigh double in the choice of a server: one that
 // fails fast is idle and would draw everything.
 constexpr double kFailEase = 0.1, kFailCost = 2;
@@ -85,6 +90,9 @@
 constexpr double kSwapGain = 0.8;
 // All directors fall on the same word, and word of that comes late: the next fall waits for it, and so long.
 constexpr Time kSettle = 1000;
+// The list tells of a server's start some seconds late. A whole list that came so long after our own start
+// tells of every start before it.
+constexpr Time kTold = 2000;
 // Rungs are looked at this often where no news comes; they only rise then.
 constexpr Time kLook = 2000;
 // An alarm that comes so late tells that this director itself stood still.
@@ -166,6 +174,7 @@
     Time rest_until = kNever, full_until = kNever, last_ok = kNever;
     Time cold_since = kNever, next_cold = kNever;
     bool broke = false;
+    bool doubted = false;  // paced as cold for no other reason than that the list was a saved one
     // Reports.
     Time asked = kNever;                  // a probe is out since then
     Time looked = kNever, fell = kNever;  // when rungs were last looked at, and last fell
@@ -179,6 +188,7 @@
     bool may_have_run = false;  // some attempt was not proved never to have run
     ServerId server = 0, asking = 0;
     std::set<ServerId> tried;
+    std::vector<ServerId> errors;  // servers that answered it with an error and were not blamed yet
     int rung = 0, told = 0, attempts = 0, asks = 0;  // told: the rung that the server has been told
     double worth = 1;
     Time taken = 0, sent = 0, risen = kNever;
@@ -399,6 +409,7 @@
     void chill(Server& v, Time since) {
         if (now_ >= v.cold_since + set_.cold_time) v.next_cold = kNever;  // else the pace goes on
         v.cold_since = since;
+        v.doubted = false;
     }
     void spend_cold(Server& v, double part) {
         const double age = std::clamp((now_ - v.cold_since) / std::max(1.0, set_.cold_time), 0.0, 1.0);
@@ -784,6 +795,7 @@
         s.rung = cls(s).floor;
         s.worth = cls(s).worth;
         sessions_[e.request.id] = s;
+        plays(e.request.title);
         if (cls(s).seats > 0) seats_[{s.request.title, s.request.cls}] += 1;
         if (Server* v = server(e.server); v && v->sessions.insert(e.request.id).second) {
             count(*v, s, 1);
@@ -797,7 +809,18 @@
             v->failing *= 1 - kFailEase;
         }
         const auto it = sessions_.find(e.id);
-        if (it != sessions_.end()) it->second.state = Session::State::playing;
+        if (it == sessions_.end()) return;
+        Session& s = it->second;
+        s.state = Session::State::playing;
+        for (const ServerId id : s.errors)
+            if (Server* v = server(id)) blame(*v);
+        s.errors.clear();
+        plays(s.request.title);
+    }
+    void blame(Server& v) { v.failing += kFailGain * (1 - v.failing); }
+    void plays(TitleId title) {
+        if (titles_.size() >= kTitles) titles_.clear();
+        titles_.insert(title);
     }
 
     void on(const AttemptOver& e) {
@@ -815,7 +838,10 @@
                     const double least = set_.refuses_from > 0 ? set_.refuses_from : 1;
                     if (a.use(now_) < least) a.learn(now_, least, 0, 1);
                 }
-                if (e.outcome == Outcome::error) v->failing += kFailGain * (1 - v->failing);
+                if (e.outcome == Outcome::error) {
+                    if (titles_.count(it->second.request.title)) blame(*v);
+                    else it->second.errors.push_back(e.server);
+                }
             }
             if (e.outcome == Outcome::reset || e.outcome == Outcome::not_connected) strike(*v, true);
         }
@@ -832,7 +858,7 @@
         if (ended) return;
         s.state = Session::State::held;
         if (s.may_have_run && cls(s).repeat == Repeat::paid) return give_up(e.id);
-        if (now_ >= aim(s) - kSetUp / 2) return give_up(e.id);
+        if (now_ >= aim(s) - kSetUp / 2 || s.errors.size() >= kErrors) return give_up(e.id);
         place(e.id);
     }
 
@@ -878,7 +904,12 @@
             const auto it = servers_.try_emplace(entry.id).first;
             Server& v = it->second;
             // A saved list may be old: any server on it may have started since, so all are paced as cold.
-            if (e.kind == ListKind::saved) chill(v, now_);
+            // A whole list that is fresh ends the doubt: after a restart viewers come in crowds.
+            if (e.kind == ListKind::saved) chill(v, now_), v.doubted = true;
+            if (e.kind == ListKind::full && v.doubted && now_ >= born_ + kTold) {
+                v.doubted = false;
+                v.cold_since = entry.last_start > 0 ? entry.last_start : kNever;
+            }
             if (entry.last_start > v.entry.last_start) chill(v, std::max(v.cold_since, entry.last_start));
             v.entry = entry;
             v.listed = entry.state != ServerState::gone;
@@ -910,6 +941,7 @@
     std::set<SessionId> held_, changed_;
     std::set<ServerId> mine_;  // servers with sessions of ours
     std::map<std::pair<TitleId, int>, int> seats_;
+    std::set<TitleId> titles_;                 // that have played
     std::map<int, std::deque<Time>> tenants_;  // sessions taken within the share
     std::deque<std::pair<Time, std::uint64_t>> viewers_;
     std::map<std::uint64_t, bool> verdicts_;
--- a/tests/relay/codec_test.cpp
+++ b/tests/relay/codec_test.cpp
@@ -8,9 +8,8 @@
 namespace ivyfield::relay {
 namespace {
 
-const char* kSetUp =
-    R"({"type":"setup","id":"9b1f03aa5c7e2d41","fields":{"class":"paid","left":1500},)"
-    R"("sdp":"9d41\r\nc=IN IP4 10.4.7.9\r\n"})";
+const char* kSetUp = R"({"type":"setup","id":"9b1f03aa5c7e2d41","fields":{"class":"paid","left":1500},)"
+                     R"("sdp":"9d41\r\nc=IN IP4 10.4.7.9\r\n"})";
 
 TEST(RelayLine, ReadsASetUp) {
     const auto line = read_line(kSetUp);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -227,6 +227,31 @@
     EXPECT_EQ(v.of(Type::answer).size(), 5u);
 }
 
+TEST(Relay, ASessionThatEndsWithItsAnswerIsAnsweredAndReleased) {
+    Rig rig(2);
+    rig.nodes[0]->react = rig.nodes[1]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+        if (m.type == Type::setup) link.send(Type::release, m.session, 16, {{63, "short"}});
+    };
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid"));
+    rig.run(500);
+    ASSERT_EQ(v.heard.size(), 2u);
+    EXPECT_EQ(v.heard[0].type, Type::answer);
+    EXPECT_EQ(*v.heard[0].sdp, "short");
+    EXPECT_EQ(v.heard[1].type, Type::release);
+    EXPECT_EQ(rig.nodes[0]->of(Type::setup).size() + rig.nodes[1]->of(Type::setup).size(), 1u);
+    EXPECT_EQ(rig.director->engine().open_sessions(), 0u);
+}
+
+TEST(Relay, AFreshWholeListEndsTheDoubtOfTheStart) {
+    Rig rig;
+    rig.viewer().say(setup_line(1, "paid"));
+    rig.run(3000);
+    EXPECT_EQ(rig.director->engine().playing(), 1u);
+    EXPECT_GT(rig.director->status()["list"]["same"].get<int>(), 4);
+}
+
 TEST(Relay, FullIsProofAndAFreeClassGoesOnElsewhere) {
     Rig rig(2);
     const auto full = [](auto& link, const auto& m) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -124,6 +124,27 @@
     EXPECT_LE(w.cold_sends[100].size(), 6u);
 }
 
+// After a restart viewers come back in crowds: the pace of a saved list ends with the first whole list that
+// can't be older than ourselves, but not that of a server which did start.
+TEST(Cold, AFreshWholeListEndsThePaceOfASavedOne) {
+    for (const Time fresh : {1000.0, 3000.0}) {
+        Watch w(small_site());
+        w.now += 50000;
+        const Time started = w.now - 1000;
+        w.list(ListKind::saved, {entry(100, 0), entry(101, 1, ServerState::ready, started)});
+        w.pass(fresh);
+        w.list(ListKind::full, {entry(100, 0), entry(101, 1, ServerState::ready, started)});
+        std::map<ServerId, int> sent;
+        for (int k = 0; k < 12; ++k) {
+            const SessionId id = w.ask(1, k);
+            if (w.sent(id)) sent[w.sessions.at(id).server] += 1, w.start(id);
+        }
+        EXPECT_LE(sent[101], 1);
+        if (fresh < 2000) EXPECT_LE(sent[100], 1);
+        else EXPECT_GE(sent[100], 5);
+    }
+}
+
 TEST(Cold, OldListAfterRestartIsPacedAsCold) {
     Watch w(small_site());
     w.cold[100] = w.now;  // it started while this director was down
@@ -511,6 +532,45 @@
     }
 }
 
+// Clients that ask for titles that no server knows get errors from good servers, by the hundred.
+TEST(Health, ErrorsOfUnknownTitlesBlameNoServer) {
+    Watch w = warm(small_site(), 4);
+    w.pass(20000);
+    for (int k = 0; k < 30; ++k) {
+        const SessionId id = w.ask(1, 1000 + k);
+        int sends = 0;
+        while (w.sent(id)) {
+            sends += 1;
+            w.over(id, Outcome::error, false);
+        }
+        EXPECT_LE(sends, 2);
+        EXPECT_TRUE(w.sessions.at(id).answered);
+        w.pass(50);
+    }
+    // Paid sessions go only where errors are rare: they still do.
+    for (int k = 0; k < 4; ++k) EXPECT_TRUE(w.sent(w.ask(0, 1)));
+}
+
+// The same error is the server's once the session plays elsewhere.
+TEST(Health, AnErrorIsTheServersWhenTheSessionPlaysElsewhere) {
+    Watch w = warm(small_site(), 3);
+    w.pass(20000);
+    const SessionId first = w.ask(1, 500);
+    const ServerId failing = w.sessions.at(first).server;
+    w.over(first, Outcome::error, false);
+    ASSERT_TRUE(w.sent(first));
+    ASSERT_NE(w.sessions.at(first).server, failing);
+    w.start(first);
+    int sent = 0;
+    for (int k = 0; k < 6; ++k) {
+        const SessionId id = w.ask(0, 600 + k);
+        if (!w.sent(id)) continue;
+        sent += 1;
+        EXPECT_NE(w.sessions.at(id).server, failing);
+    }
+    EXPECT_GT(sent, 0);
+}
+
 TEST(Health, ServerThatFailsFastDoesNotDrawSessions) {
     Watch w = warm(small_site(), 2);
     w.pass(20000);
