--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -51,14 +51,17 @@
     try {
         const std::string name = variable("RELAY_NAME");
         const std::string listen = variable("RELAY_LISTEN");
-        path = variable("RELAY_CONFIG");
-        config = config::read_relay_config(config::read_file(path));
-        config.name = name;
+        const std::string file = variable("RELAY_CONFIG");
+        io::Address address;
         try {
-            config.listen = io::Address::parse(listen);
+            address = io::Address::parse(listen);
         } catch (const std::invalid_argument& e) {
             throw std::runtime_error(std::string("RELAY_LISTEN: ") + e.what());
         }
+        path = file;
+        config = config::read_relay_config(config::read_file(path));
+        config.name = name;
+        config.listen = address;
     } catch (const std::exception& e) {
         std::cerr << "ivyfield relay: " << (path.empty() ? "" : path + ": ") << e.what() << "\n";
         return 2;
