--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -497,6 +497,112 @@
     EXPECT_EQ(ends[0].tries[0].second, "timed out");
 }
 
+// Everything goes wrong at once, by seed: nodes that answer, refuse, spoil, repeat, fall silent, reset or are
+// replaced at their address, viewers that repeat numbers, take back, release what is not theirs, send noise
+// and leave. The engine's own assertions are on; what must hold besides: one answer a set-up at most, one in
+// time where its viewer stays, and nothing owed or out when all is quiet.
+class RelayStorm : public ::testing::TestWithParam<int> {};
+TEST_P(RelayStorm, EachSetUpHasOneAnswerAndNothingIsLeft) {
+    Rig rig(4, 48);
+    std::mt19937 random(static_cast<unsigned>(GetParam()));
+    const auto draw = [&](unsigned n) { return random() % n; };
+    const auto noise = [&] {
+        std::string text;
+        for (unsigned n = 1 + draw(40); n > 0; --n) text.push_back(static_cast<char>(random()));
+        return text;
+    };
+    for (auto& node : rig.nodes)
+        node->react = [&](auto& link, const auto& m) {
+            if (m.type == Type::ping)
+                return draw(8) ? link.send(Type::pong, m.session, 1, {{51, "inflight:3;x0:0.2;x1:bad"}})
+                               : link.stream->write(noise());
+            if (m.type != Type::setup) return;
+            switch (draw(12)) {
+                case 0:
+                    return link.send(Type::release, m.session, 34);
+                case 1:
+                    return link.send(Type::release, m.session, 47);
+                case 2:
+                    return link.send(Type::release, m.session, 16, {{63, "short"}});
+                case 3:
+                    return link.stream->write(noise());
+                case 4:
+                    return;
+                case 5:
+                    return link.stream->end();
+                default:
+                    link.send(Type::answer, m.session, -1, {{63, "x"}});
+                    if (draw(3) == 0) link.send(Type::answer, m.session, -1, {{63, "again"}});
+                    if (draw(3) == 0) link.send(Type::release, m.session, 16 + static_cast<int>(draw(30)));
+                    if (draw(3) == 0) link.send(Type::note, m.session, -1, {{47, "share"}, {57, "0.5"}});
+            }
+        };
+    struct Asked {
+        Viewer* viewer;
+        double until;
+        bool left = false;
+    };
+    std::map<std::uint64_t, Asked> asked;
+    std::vector<Viewer*> open;
+    std::uint64_t next = 1;
+    for (int step = 0; step < 400; ++step) {
+        open.erase(std::remove_if(open.begin(), open.end(), [](const Viewer* one) { return !one->open; }),
+                   open.end());
+        while (open.size() < 4) open.push_back(&rig.viewer());
+        Viewer& v = *open[draw(static_cast<unsigned>(open.size()))];
+        const bool paid = draw(2) != 0;
+        switch (draw(16)) {
+            case 0:
+                v.say(release_line(1 + draw(static_cast<unsigned>(next)), 31));  // anyone's
+                for (auto& [id, one] : asked) one.left = one.left || one.viewer == &v;
+                break;
+            case 1: {
+                Viewer& rude = rig.viewer();
+                rude.say(noise());
+                rude.say(setup_line(1 + draw(static_cast<unsigned>(next)), "paid"));
+                break;
+            }
+            case 2:
+                v.stream.reset();
+                for (auto& [id, one] : asked) one.left = one.left || one.viewer == &v;
+                open.erase(std::find(open.begin(), open.end(), &v));
+                break;
+            case 3: {
+                auto& node = *rig.nodes[draw(4)];
+                for (auto& link : node.links) link.stream.reset();
+                break;
+            }
+            case 4:
+                if (draw(4) == 0) {
+                    rig.listed[draw(4)].uid = "s-new" + std::to_string(step);
+                    rig.list(rig.listed);
+                }
+                break;
+            default:
+                v.say(setup_line(next, paid ? "paid" : "free one", 2000));
+                asked[next++] = {&v, rig.world.now() + 2100};
+        }
+        rig.run(draw(40));
+    }
+    rig.run(8000);
+    for (const auto& [id, one] : asked) {
+        int answers = 0, releases = 0;
+        for (const auto& m : one.viewer->heard) {
+            if (m.session != id) continue;
+            answers += m.type == Type::answer;
+            releases += m.type == Type::release;
+        }
+        EXPECT_LE(answers, 1) << id;
+        EXPECT_LE(releases, 1) << id;
+        // Who released what is another's open set-up has had its connection closed.
+        EXPECT_TRUE(one.left || !one.viewer->open || answers + releases > 0) << id << " is lost";
+    }
+    EXPECT_EQ(rig.director->front().open(), 0u);
+    EXPECT_EQ(rig.director->engine().owed(), 0u);
+    EXPECT_LE(rig.director->nodes().connections(), 24u);
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, RelayStorm, ::testing::Range(1, 101));
+
 TEST(RelayConfig, FaultsNameTheirPlace) {
     const std::string good = config_text({{"s-0", {"127.0.0.1", 9001}}}, "127.0.0.1:5300");
     const config::RelayConfig c = config::read_relay_config(good);
