Taken set-ups never give way, one bad moment ends no session: decided in src/decide

Seen on reading the whole change again: 1. nodes.cpp counted dials that failed, also when they ran side by side: eight set-ups dialling while a node's queue was full for 0.4 s ended every session there. Shown by a test that the old count fails (session 1 released). 2. Out of connections, front.cpp make_room() dropped its oldest connection with set-ups taken on it: lost ones. Now one with a set-up open never gives way; the new connection is turned away, by which nothing was taken. 3. A valid set-up over a connection's bound was answered as a failure by the front's own choice. 4. SIGTERM: set-ups that went on coming, or a viewer that does not read, kept the process up until it was killed; stop_listening() was never called. Checks that could not fail: the test of 'waited' looked at no wait (tries now tell it, and the old count fails), the one of the fresh list at no pace, a drain while a connection comes up had none.

--- a/src/cli/director.cpp
+++ b/src/cli/director.cpp
@@ -1,6 +1,6 @@
 #include "cli/director.hpp"
 
-#include <cmath>
+#include "cli/session_line.hpp"
 
 namespace ivyfield::cli {
 
@@ -13,7 +13,6 @@
     if (name == "warning") return log::Level::warning;
     return name == "error" ? log::Level::error : log::Level::info;
 }
-double rounded(double ms) { return std::round(ms * 10) / 10; }
 
 }  // namespace
 
@@ -84,30 +83,14 @@
         const auto it = names_.find(id);
         return it == names_.end() ? std::to_string(id) : it->second;
     };
-    json tries = json::array();
-    for (const auto& [server, how] : r.tries) tries.push_back({{"node", name(server)}, {"end", how}});
     const Settings& s = config_.settings;
-    json line = {{"session", r.id},
-                 {"sid", r.ask.sid},
-                 {"tenant", s.tenants[static_cast<std::size_t>(r.ask.tenant)].name},
-                 {"class", s.classes[static_cast<std::size_t>(r.ask.cls)].name},
-                 {"title", r.ask.title_name},
-                 {"answer", core::name(r.answer)},
-                 {"attempts", r.attempts},
-                 {"tries", tries},
-                 {"rung", r.rung},
-                 {"rungs_set", r.rungs_set},
-                 {"asked", 1 + r.joined_requests},
-                 {"returning", r.returning},
-                 {"moved", r.moved},
-                 {"taken_back", r.taken_back},
-                 {"ended_by", r.ended_by}};
-    // The phases, in the order of their happening: held, set up, played.
-    const Time answered = r.answered_at;
-    line["held_ms"] = rounded((r.first_sent > 0 ? r.first_sent : answered) - r.taken);
-    if (r.first_sent > 0) line["set_up_ms"] = rounded(answered - r.first_sent);
-    if (r.answer == core::Answer::plays) line["played_ms"] = rounded(r.ended - answered);
-    if (r.answer == core::Answer::refused) line["retry_after_ms"] = rounded(r.retry_after);
+    json line = session_line(r, name);
+    line["session"] = r.id;
+    line["sid"] = r.ask.sid;
+    line["tenant"] = s.tenants[static_cast<std::size_t>(r.ask.tenant)].name;
+    line["class"] = s.classes[static_cast<std::size_t>(r.ask.cls)].name;
+    line["title"] = r.ask.title_name;
+    line["asked"] = 1 + r.joined_requests;
     log_.write(log::Level::info, loop_.wall_ms(), "session", line);
 }
 
--- a/src/cli/relay.cpp
+++ b/src/cli/relay.cpp
@@ -4,7 +4,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cmath>
+
+#include "cli/session_line.hpp"
 
 namespace ivyfield::cli {
 
@@ -15,17 +16,16 @@
 constexpr const char* kService = "_api._tcp.svc.local";
 // At a planned restart requests are sent here for up to 0.6 s more; all that came within this is answered.
 constexpr io::Time kTakeOn = 750;
-constexpr io::Time kLookEvery = 20;
+constexpr io::Time kLookEvery = 20, kFlush = 500;
 constexpr io::Time kStatusEvery = 5000;
 constexpr io::Time kConfirmEvery = 1000;
 // Bad set-ups are told one by one up to here, then only counted: who sends them does not write our log.
 constexpr int kMostBadTold = 20;
+constexpr std::size_t kOldNames = 64;  // of nodes that are gone, for the log
 
 // Alike at every director: a node is its id, not its address.
 ServerId server_of(const std::string& uid) { return XXH64(uid.data(), uid.size(), 0); }
 
-double rounded(double ms) { return std::round(ms * 10) / 10; }
-
 }  // namespace
 
 RelayProcess::RelayProcess(io::Loop& loop, const config::RelayConfig& config, const std::string& log_path)
@@ -46,7 +46,7 @@
           loop, config.listen, config.settings, {config.classes, config.tenants},
           [&] {
               fronts::RelayFrontLimits limits;
-              limits.connections = config.sockets * 2 / 5;
+              limits.intake.connections = config.sockets * 2 / 5;
               return limits;
           }(),
           engine_),
@@ -128,8 +128,18 @@
 
 void RelayProcess::know() {
     std::map<ServerId, nodes::RelayNode> known;
-    for (const auto& [uid, m] : members_)
-        known[server_of(uid)] = {uid, m.address, m.state == ServerState::ready};
+    for (const auto& [uid, m] : members_) {
+        const ServerId id = server_of(uid);
+        known[id] = {uid, m.address, m.state == ServerState::ready};
+        if (!names_.emplace(id, uid).second) continue;
+        named_.push_back(id);
+    }
+    // Sessions of nodes that are gone end a little later; all day long names would only pile up.
+    while (named_.size() > known.size() + kOldNames) {
+        if (known.count(named_.front())) named_.push_back(named_.front());
+        else names_.erase(named_.front());
+        named_.pop_front();
+    }
     nodes_.know(known);
 }
 
@@ -177,27 +187,21 @@
     stopping();
 }
 void RelayProcess::stopping() {
-    if (loop_.now() - stop_asked_ >= kTakeOn && engine_.owed() == 0 && front_.drained()) return done_();
+    const io::Time since = loop_.now() - stop_asked_;
+    if (since >= kTakeOn) front_.stop_taking();
+    if (since < kTakeOn || engine_.owed() > 0) answered_ = loop_.now();
+    // A viewer that does not read what it is sent holds nobody up.
+    else if (front_.drained() || loop_.now() - answered_ >= kFlush) return done_();
     stop_timer_ = loop_.after(kLookEvery, [this] { stopping(); });
 }
 
 void RelayProcess::ended(const core::SessionRecord& r) {
-    json tries = json::array();
-    for (const auto& [server, how] : r.tries) tries.push_back({{"node", relay::hex(server)}, {"end", how}});
-    const Time answered = r.answered_at;
-    json line = {{"id", relay::hex(r.id)},
-                 {"class", config_.classes[static_cast<std::size_t>(r.ask.cls)]},
-                 {"answer", core::name(r.answer)},
-                 {"tries", tries},
-                 {"rung", r.rung},
-                 {"rungs_set", r.rungs_set},
-                 {"again", r.returning},
-                 {"taken_back", r.taken_back},
-                 {"ended_by", r.ended_by},
-                 {"held_ms", rounded((r.first_sent > 0 ? r.first_sent : answered) - r.taken)}};
-    if (r.first_sent > 0) line["set_up_ms"] = rounded(answered - r.first_sent);
-    if (r.answer == core::Answer::plays) line["played_ms"] = rounded(r.ended - answered);
-    if (r.answer == core::Answer::refused) line["wait_ms"] = rounded(r.retry_after);
+    json line = session_line(r, [this](ServerId id) {
+        const auto it = names_.find(id);
+        return it == names_.end() ? relay::hex(id) : it->second;
+    });
+    line["id"] = relay::hex(r.id);
+    line["class"] = config_.classes[static_cast<std::size_t>(r.ask.cls)];
     remark(log::Level::info, "session", line);
 }
 
@@ -225,6 +229,7 @@
               {"bad", f.bad},
               {"repeated", f.repeated},
               {"shed", f.shed},
+              {"turned_away", f.turned_away},
               {"gave_up", f.gave_up},
               {"hung_up", f.hung_up},
               {"releases", f.releases},
--- a/src/cli/relay.hpp
+++ b/src/cli/relay.hpp
@@ -2,6 +2,8 @@
 // same for `ivyfield relay` and for the virtual world.
 #pragma once
 
+#include <deque>
+
 #include "config/relay.hpp"
 #include "core/engine.hpp"
 #include "discovery/srv/srv.hpp"
@@ -45,11 +47,13 @@
     const io::Time clock_;  // what Unix time is to the loop's clock
     discovery::SrvList list_;
     discovery::Members members_;
+    std::map<ServerId, std::string> names_;
+    std::deque<ServerId> named_;  // in the order of their coming
     bool began_ = false;
     io::Time confirmed_ = 0;
     int bad_told_ = 0;
     std::function<void()> done_;
-    io::Time stop_asked_ = 0;
+    io::Time stop_asked_ = 0, answered_ = 0;
     io::Timer stop_timer_, status_timer_;
 };
 
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -182,7 +182,7 @@
     const auto still = sessions_.find(id);
     if (still == sessions_.end() || still->second->state != State::left) return;
     Session& out = *still->second;
-    nodes_.cancel(out.record.tries.back().first, id, out.attempt);
+    nodes_.cancel(out.record.tries.back().server, id, out.attempt);
     attempt_over(out, Outcome::cancelled, {}, false);
 }
 
@@ -282,7 +282,7 @@
     s.record.deadline = ask.number ? ask.deadline : 0;
     s.record.attempts = attempt + 1;
     s.record.server = server;
-    s.record.tries.emplace_back(server, "out");
+    s.record.tries.push_back({server});
     s.state = State::playing;
     s.rung = s.rung_sent = rung;
     s.attempt = attempt;
@@ -360,7 +360,7 @@
     remark(s, "started");
     s.expiry.stop();
     s.media = media;
-    s.record.server = s.record.tries.back().first;
+    s.record.server = s.record.tries.back().server;
     const bool wanted = s.state == State::out;
     s.state = State::playing;
     playing_ += 1;
@@ -390,7 +390,7 @@
 // The module counts the attempt on, before it hears that it is over for its session: in between the place
 // would be free.
 void Engine::keep_counting(const Session& s) {
-    const Doubt doubt{++last_id_, s.record.tries.back().first, {s.record.ask.title, s.record.ask.cls}};
+    const Doubt doubt{++last_id_, s.record.tries.back().server, {s.record.ask.title, s.record.ask.cls}};
     if (!doubts_.emplace(std::make_pair(s.record.id, s.attempt), doubt).second)
         slip(s, "its attempt is doubtful twice");
     SessionAdopted as;
@@ -426,12 +426,13 @@
     AttemptOver e;
     e.id = id;
     e.attempt = s.attempt;
-    e.server = s.record.tries.back().first;
+    e.server = s.record.tries.back().server;
     e.outcome = outcome;
     e.waited = loop_.now() - s.sent;
     e.session_over = s.record.answered;
     e.report = report;
-    s.record.tries.back().second = name(outcome);
+    s.record.tries.back().end = name(outcome);
+    s.record.tries.back().waited = e.waited;
     s.expiry.stop();
     s.attempt = -1;
     s.may_have_run = s.may_have_run || !proves_never_ran(outcome);
@@ -441,7 +442,8 @@
         counts_.reset += outcome == Outcome::reset;
         if (on_gone) on_gone(id, !s.hung_up && !s.moving && outcome != Outcome::cancelled, false);
     }
-    if (s.record.answered) finish(id, was == State::playing ? "node" : "player");
+    if (s.record.answered)
+        finish(id, s.moving ? "director" : s.hung_up || was != State::playing ? "player" : "node");
     else s.state = State::held;
     feed(e);
 }
@@ -485,7 +487,7 @@
     seat(s, 1);
     s.state = State::out;
     s.sent = loop_.now();
-    s.record.tries.emplace_back(a.server, "out");
+    s.record.tries.push_back({a.server});
     s.rung_sent = s.rung;
     counts_.attempts += 1;
     if (s.attempt == 0) s.record.first_sent = loop_.now();
@@ -533,7 +535,7 @@
     // Told from the loop, and before the port can tell that it is released.
     if (s.state == State::out || s.state == State::left)
         loop_.post([this, id = a.id, attempt = a.attempt] { lost(id, attempt, Outcome::cancelled); });
-    nodes_.cancel(s.record.tries.back().first, a.id, a.attempt);
+    nodes_.cancel(s.record.tries.back().server, a.id, a.attempt);
 }
 void Engine::carry(const SetRung& a) {
     const auto it = sessions_.find(a.id);
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -29,6 +29,13 @@
     using std::logic_error::logic_error;
 };
 
+// One attempt: where, how it ended, and how long after its own sending.
+struct Try {
+    ServerId server = 0;
+    std::string end = "out";
+    Time waited = 0;
+};
+
 // All of one session, for its line in the log when it ends. Times on the loop's clock; 0: never came to it.
 struct SessionRecord {
     SessionId id = 0;
@@ -40,8 +47,8 @@
     Time taken = 0, first_sent = 0, answered_at = 0, ended = 0, deadline = 0, retry_after = 0;
     int attempts = 0, rung = 0, rungs_set = 0, joined_requests = 0;
     ServerId server = 0;
-    std::vector<std::pair<ServerId, std::string>> tries;  // each attempt's server and how it ended
-    std::string ended_by;                                 // "node", "player", "director"
+    std::vector<Try> tries;
+    std::string ended_by;  // "node", "player", "director"
 };
 
 struct Counts {
--- /dev/null
+++ b/src/decide/presence.hpp
@@ -0,0 +1,25 @@
+// Whether a media node's machine is still there, judged by its connections alone: tests of health are paid
+// for, a dial is not. A process that only hangs has its connections accepted by its system and is not taken
+// for a machine that vanished. One such judge a node; no I/O, no clock.
+#pragma once
+
+#include "ivyfield/director.hpp"
+
+namespace ivyfield::decide {
+
+class Presence {
+  public:
+    // Bytes came, or a connection came up.
+    void heard(Time now);
+    // A dial that began then has not come up; `refused`: by a machine that is there, with no process at its
+    // port. True: the node is gone, and with it all that stood there.
+    bool dial_failed(Time began, Time now, bool refused);
+    // When a node with sessions is to be dialled, if nothing is heard from it until then.
+    Time look_at(Time now) const;
+
+  private:
+    Time heard_ = 0, failed_ = 0;
+    int failures_ = 0;
+};
+
+}  // namespace ivyfield::decide
--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -86,13 +86,21 @@
     sweep_ = loop_.after(kSweep, [this] { sweep(); });
 }
 RelayFront::~RelayFront() {
-    for (auto& [id, request] : requests_) engine_.leave(id, request.get());
+    // One that leaves may have others answered.
+    while (!requests_.empty()) {
+        const SessionId id = requests_.begin()->first;
+        engine_.leave(id, requests_.begin()->second.get());
+        answered(id);
+    }
 }
 
 // ---- Connections ----
 
 void RelayFront::accepted(std::unique_ptr<io::Stream> stream) {
-    make_room();
+    if (!make_room()) {  // closed with nothing sent on it: nothing has been taken by it
+        counts_.turned_away += 1;
+        return;
+    }
     counts_.connections += 1;
     auto owned = std::make_unique<Connection>(*this);
     owned->stream = std::move(stream);
@@ -101,19 +109,19 @@
     connections_.push_back(std::move(owned));
 }
 
-// Out of room, the connection that has been idle longest gives way: those that never carried a set-up first.
-void RelayFront::make_room() {
-    if (connections_.size() < limits_.connections) return;
-    Connection* worst = nullptr;
+bool RelayFront::make_room() {
+    if (connections_.size() < limits_.intake.connections) return true;
+    std::vector<Connection*> connections;
+    std::vector<decide::Held> held;
     for (const auto& c : connections_) {
-        if (!c->open.empty()) continue;
-        if (!worst || std::make_pair(c->carried, c->used) < std::make_pair(worst->carried, worst->used))
-            worst = c.get();
+        connections.push_back(c.get());
+        held.push_back({c->open.size(), c->carried, c->used});
     }
-    if (!worst) worst = connections_.front().get();
+    const auto way = decide::gives_way(held);
+    if (!way) return false;
     counts_.shed += 1;
-    leave_all(*worst);
-    drop(*worst);
+    drop(*connections[*way]);
+    return true;
 }
 
 void RelayFront::drop(Connection& c) {
@@ -151,9 +159,9 @@
     c.open.clear();
     for (const SessionId id : open) {
         const auto it = requests_.find(id);
-        Request* request = it->second.get();
+        if (it == requests_.end()) continue;  // answered because one of the others left
         counts_.gave_up += 1;
-        engine_.leave(id, request);
+        engine_.leave(id, it->second.get());
         answered(id);
     }
 }
@@ -301,7 +309,7 @@
     core::Ask ask;
     std::string at;
     const std::string why = read_ask(m, ask, at);
-    if (!why.empty() || c.open.size() >= limits_.open_a_connection) {
+    if (!why.empty()) {
         counts_.bad += 1;
         if (on_bad) on_bad(why, m);
         return release(c, m.id, kUnusable);
@@ -328,6 +336,10 @@
         counts_.repeated += 1;
         return release(c, m.id, kUnusable);
     }
+    if (!decide::takes(limits_.intake, c.open.size(), stopping_)) {
+        counts_.turned_away += 1;
+        return release(c, m.id, kRefused);
+    }
     auto owned = std::make_unique<Request>(*this, m.session, m.id, &c);
     Request* request = owned.get();
     requests_.emplace(m.session, std::move(owned));
--- a/src/fronts/relay/front.hpp
+++ b/src/fronts/relay/front.hpp
@@ -11,14 +11,14 @@
 #include <memory>
 
 #include "core/engine.hpp"
+#include "decide/intake.hpp"
 #include "io/loop.hpp"
 #include "relay/message.hpp"
 
 namespace ivyfield::fronts {
 
 struct RelayFrontLimits {
-    std::size_t connections = 256;           // of viewers
-    std::size_t open_a_connection = 256;     // set-ups owed an answer
+    decide::IntakeLimits intake{256, 256};
     std::size_t unread_output = 256 * 1024;  // of one connection
     std::size_t kept_releases = 4096;        // that wait for a connection
     io::Time linger = 500;  // a closed connection is still read, so that its last word arrives
@@ -28,7 +28,7 @@
 struct RelayFrontCounts {
     std::uint64_t connections = 0, set_ups = 0, unreadable = 0, bad = 0, repeated = 0, gave_up = 0,
                   closed = 0, tests = 0, adopted = 0, hung_up = 0, releases = 0, unknown_releases = 0,
-                  shed = 0;
+                  shed = 0, turned_away = 0;
 };
 
 struct RelayNames {
@@ -55,13 +55,12 @@
 
     // A session that stood has ended or is moved; its viewer is told where that is owed.
     void gone(SessionId id, bool owed, bool moved);
-    // No new connections any more.
-    void stop_listening() { listener_.reset(); }
+    // The end is near: no new connections, and set-ups that still come are refused.
+    void stop_taking() { stopping_ = true, listener_.reset(); }
     std::size_t connections() const { return connections_.size(); }
     std::size_t open() const { return requests_.size(); }
     bool drained() const;
     const RelayFrontCounts& counts() const { return counts_; }
-    io::Address address() const { return listener_->address(); }
 
   private:
     struct Connection;
@@ -80,7 +79,7 @@
     void finish(Connection& c);
     void close(Connection& c);
     void drop(Connection& c);
-    void make_room();
+    bool make_room();
     void sweep();
     void flush_kept(Connection& c);
 
@@ -89,7 +88,7 @@
     RelayNames names_;
     RelayFrontLimits limits_;
     core::Engine& engine_;
-    bool began_ = false;
+    bool began_ = false, stopping_ = false;
     std::list<std::unique_ptr<Connection>> connections_;  // oldest first
     std::map<SessionId, std::unique_ptr<Request>> requests_;
     std::map<SessionId, Connection*> standing_;  // the connection of its set-up, while that lasts; else null
--- a/src/nodes/relay/nodes.cpp
+++ b/src/nodes/relay/nodes.cpp
@@ -13,11 +13,6 @@
 
 namespace {
 
-// A node with sessions from which nothing has come for this long is dialled, to see whether its machine is
-// there; so many dials in a row that do not come up, and it is not. What has ended must be told to viewers
-// within 8 s of its end.
-constexpr io::Time kSilent = 2000;
-constexpr int kVanishedAfter = 3;
 // After a connection that nodes with sessions need is lost, the next dial waits so long, doubling.
 constexpr io::Time kRedial = 50, kLongestRedial = 1600;
 // Idle connections are closed by us well before the node does: a set-up that crosses its close is lost.
@@ -32,7 +27,7 @@
     std::unique_ptr<io::Stream> stream;
     relay::FrameDecoder decoder;
     bool up = false, gone = false;
-    io::Time used = 0;
+    io::Time dialled = 0, used = 0;
     // One set-up, as long as there is room for more connections.
     struct Open {
         core::SetUp what;
@@ -60,8 +55,8 @@
     bool listed = true;
     std::list<std::unique_ptr<Connection>> connections;
     std::map<SessionId, Standing> standing;
-    io::Time last_word = 0, redial_wait = 0;
-    int failed_dials = 0;
+    decide::Presence presence;
+    io::Time redial_wait = 0;
     io::Timer redial, watch;
 };
 
@@ -115,7 +110,7 @@
 RelayNodes::Connection& RelayNodes::dial(Node& node) {
     auto owned = std::make_unique<Connection>(*this, node);
     Connection& c = *owned;
-    c.used = loop_.now();
+    c.dialled = c.used = loop_.now();
     node.connections.push_back(std::move(owned));
     connections_ += 1;
     counts_.dials += 1;
@@ -126,7 +121,7 @@
 RelayNodes::Connection* RelayNodes::idle(Node& node, bool open_only) {
     Connection* best = nullptr;
     for (const auto& c : node.connections) {
-        if (c->gone || !c->idle() || c->watching || (open_only && !c->up)) continue;
+        if (!c->idle() || c->watching || (open_only && !c->up)) continue;
         if (limits_.idle_close > 0 && loop_.now() - c->used > limits_.idle_close * kIdlePart) continue;
         if (!best || c->used > best->used) best = c.get();
     }
@@ -165,7 +160,7 @@
 bool RelayNodes::tell(Node& node, const NodeMessage& message) {
     Connection* best = nullptr;
     for (const auto& c : node.connections)
-        if (!c->gone && c->up && (!best || c->used > best->used)) best = c.get();
+        if (c->up && (!best || c->used > best->used)) best = c.get();
     if (best) write(*best, message);
     return best != nullptr;
 }
@@ -181,9 +176,8 @@
         if (old) drop(*old);
         c.watched = true;
     }
-    node.failed_dials = 0;
     node.redial_wait = 0;
-    node.last_word = loop_.now();
+    node.presence.heard(loop_.now());
     std::vector<SessionId> waiting;
     for (const auto& [id, open] : c.open)
         if (!open.written) waiting.push_back(id);
@@ -223,8 +217,9 @@
     const bool refused = why == io::Closing::refused, no_room = why == io::Closing::no_resources;
     Node& node = c.node;
     drop(c);  // owned by dead_ until this returns to the loop
-    if (came_up) counts_.resets += 1;
-    else if (!no_room) node.failed_dials += 1;  // our own want of descriptors tells nothing of the node
+    counts_.resets += came_up;
+    // Our own want of descriptors tells nothing of the node.
+    const bool lost = !came_up && !no_room && node.presence.dial_failed(c.dialled, loop_.now(), refused);
     while (!c.open.empty()) {
         const bool written = c.open.begin()->second.written;
         set_up_over(c, c.open.begin()->first,
@@ -235,10 +230,9 @@
     }
     if (c.testing)
         test_over(c, came_up ? Outcome::reset : no_room ? Outcome::full : Outcome::not_connected, {});
-    if (refused) lose_all(node, "refuses connections");
-    else if (!came_up && node.failed_dials >= kVanishedAfter) {
-        counts_.vanished += !node.standing.empty();
-        lose_all(node, "no connection comes up");
+    if (lost) {
+        counts_.vanished += !refused && !node.standing.empty();
+        lose_all(node, refused ? "refuses connections" : "no connection comes up");
     }
     keep_up(node);
 }
@@ -250,9 +244,7 @@
         node.watch.stop();
         return;
     }
-    const bool any =
-        std::any_of(node.connections.begin(), node.connections.end(), [](const auto& c) { return !c->gone; });
-    if (!any) {
+    if (node.connections.empty()) {
         const ServerId id = node.id;
         node.redial = loop_.after(node.redial_wait, [this, id] {
             Node* n = find(id);
@@ -265,12 +257,12 @@
 }
 void RelayNodes::watch(Node& node) {
     const ServerId id = node.id;
-    node.watch = loop_.at(std::max(loop_.now() + kSilent / 4, node.last_word + kSilent), [this, id] {
+    node.watch = loop_.at(node.presence.look_at(loop_.now()), [this, id] {
         Node* n = find(id);
         if (!n || n->standing.empty() || !n->listed) return;
-        const bool dialling = std::any_of(n->connections.begin(), n->connections.end(),
-                                          [](const auto& c) { return !c->gone && !c->up; });
-        if (loop_.now() - n->last_word >= kSilent && !dialling) dial(*n).watching = true;
+        const bool dialling =
+            std::any_of(n->connections.begin(), n->connections.end(), [](const auto& c) { return !c->up; });
+        if (!dialling) dial(*n).watching = true;
         watch(*n);
     });
 }
@@ -294,7 +286,7 @@
     for (const auto& [id, node] : nodes_) {
         std::vector<Connection*> old;
         std::size_t up = 0;
-        for (const auto& c : node->connections) up += !c->gone && c->up;
+        for (const auto& c : node->connections) up += c->up;
         for (const auto& c : node->connections) {
             if (!c->idle() || !c->up || limits_.idle_close <= 0) continue;
             if (loop_.now() - c->used <= limits_.idle_close * kIdlePart) continue;
@@ -452,7 +444,7 @@
 }
 
 void RelayNodes::heard(Connection& c, std::string_view bytes) {
-    c.node.last_word = loop_.now();
+    c.node.presence.heard(loop_.now());
     c.used = loop_.now();
     while (!c.gone && !bytes.empty()) {
         const auto result = c.decoder.next(bytes);
--- a/src/nodes/relay/nodes.hpp
+++ b/src/nodes/relay/nodes.hpp
@@ -9,10 +9,8 @@
 //
 // A session that stands belongs to no connection; what concerns it may come on any connection of its node.
 // Wherever sessions stand a connection is kept open, since that is how their ends come. A refused dial tells
-// that the process is gone and its sessions with it. A machine that vanishes gives no sign: a node that is
-// silent while sessions stand there is dialled anew now and then, which costs it nothing that is priced; when
-// no connection comes up several times in a row, it is gone. A process that only hangs still has connections
-// accepted by its system.
+// that the process is gone and its sessions with it. A machine that vanishes gives no sign: decide::Presence
+// says when a silent node is dialled, and when it is gone.
 #pragma once
 
 #include <list>
@@ -21,6 +19,7 @@
 #include <set>
 
 #include "core/ports.hpp"
+#include "decide/presence.hpp"
 #include "io/loop.hpp"
 #include "relay/message.hpp"
 
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1,4 +1,6 @@
 // The director of the platform end to end on the virtual world: viewers, nodes and name server that fail.
+#include <fstream>
+
 #include "rig.hpp"
 
 namespace ivyfield::relaytest {
@@ -244,15 +246,24 @@
     EXPECT_EQ(rig.director->engine().open_sessions(), 0u);
 }
 
+// The list of the start may be old: its nodes are paced as cold until the name server's word, which the
+// module hears again and again, is of a later moment than the director's own start.
 TEST(Relay, AFreshWholeListEndsTheDoubtOfTheStart) {
-    Rig rig;
-    rig.viewer().say(setup_line(1, "paid"));
-    rig.run(3000);
-    EXPECT_EQ(rig.director->engine().playing(), 1u);
-    EXPECT_GT(rig.director->status()["list"]["same"].get<int>(), 4);
+    const auto served_after = [](double ms) {
+        Rig rig(2, 256, 60000);
+        Viewer& v = rig.viewer();
+        v.say(setup_line(1, "free one"));
+        rig.run(ms);
+        const auto before = v.of(Type::answer).size();
+        for (std::uint64_t id = 2; id <= 13; ++id) v.say(setup_line(id, "free one"));
+        rig.run(500);
+        return v.of(Type::answer).size() - before;
+    };
+    EXPECT_LE(served_after(500), 3u);
+    EXPECT_GE(served_after(5000), 10u);
 }
 
-TEST(Relay, FullIsProofAndAFreeClassGoesOnElsewhere) {
+TEST(Relay, FullProvesThatItNeverRanAndAPaidSetUpGoesOnElsewhere) {
     Rig rig(2);
     const auto full = [](auto& link, const auto& m) {
         if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
@@ -477,24 +488,142 @@
     EXPECT_EQ(late.heard.size(), 1u);
 }
 
+// A second attempt that is answered at once must not count the first one's wait as its own.
 TEST(Relay, AttemptsWaitFromTheirOwnSending) {
-    // The second attempt is answered at once: what the module hears must not hold the first one's wait.
     Rig rig(2);
     int n = 0;
     rig.nodes[0]->react = rig.nodes[1]->react = [&n](auto& link, const auto& m) {
         if (m.type == Type::ping) return link.send(Type::pong, m.session, 1);
-        if (m.type == Type::setup && n++ > 0) link.send(Type::answer, m.session, -1, {{63, "x"}});
+        if (m.type == Type::setup && n++ > 0) link.send(Type::release, m.session, 47);
     };
     Viewer& v = rig.viewer();
     std::vector<core::SessionRecord> ends;
     rig.director->engine().on_end = [&](const core::SessionRecord& r) { ends.push_back(r); };
     v.say(setup_line(1, "free one"));
-    rig.run(1500);
+    rig.run(2000);
+    ASSERT_EQ(ends.size(), 1u);
+    ASSERT_GE(ends[0].tries.size(), 2u);
+    EXPECT_EQ(ends[0].tries[0].end, "timed out");
+    EXPECT_GE(ends[0].tries[0].waited, 250);
+    EXPECT_EQ(ends[0].tries[1].end, "error");
+    EXPECT_LT(ends[0].tries[1].waited, 50);
+}
+
+TEST(Relay, WhoEndedASessionIsWrittenDown) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    std::vector<core::SessionRecord> ends;
+    rig.director->engine().on_end = [&](const core::SessionRecord& r) { ends.push_back(r); };
+    v.say(setup_line(1, "paid"));
+    v.say(setup_line(2, "paid"));
+    rig.run(500);
     v.say(release_line(1, 31));
     rig.run(100);
-    ASSERT_EQ(ends.size(), 1u);
-    EXPECT_EQ(ends[0].attempts, 2);
-    EXPECT_EQ(ends[0].tries[0].second, "timed out");
+    rig.nodes[0]->links.back().send(Type::release, 2, 16);
+    rig.run(100);
+    ASSERT_EQ(ends.size(), 2u);
+    EXPECT_EQ(ends[0].ended_by, "player");
+    EXPECT_EQ(ends[1].ended_by, "node");
+}
+
+// A crowd of set-ups dials while the node's queue is full for a moment: one failure, not many in a row.
+TEST(Relay, ABadMomentOfANodeDoesNotEndItsSessions) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid"));
+    rig.run(300);
+    ASSERT_EQ(v.of(Type::answer).size(), 1u);
+    rig.nodes[0]->listener->pause();
+    for (std::uint64_t id = 2; id <= 9; ++id) v.say(setup_line(id, "paid"));
+    rig.run(400);
+    rig.nodes[0]->listener->resume();
+    rig.run(3000);
+    EXPECT_GT(rig.director->nodes().counts().dials, 5u);
+    EXPECT_EQ(rig.director->nodes().counts().vanished, 0u);
+    for (const auto& m : v.of(Type::release)) EXPECT_NE(m.session, 1u);
+}
+
+// What nodes tell, kept: the port alone, without engine and module.
+struct Told : core::NodeEvents {
+    std::vector<std::pair<SessionId, Outcome>> ends;
+    int starts = 0;
+    void started(SessionId, int, const core::Media&) override { starts += 1; }
+    void over(SessionId id, int, Outcome outcome, const LoadReport&) override {
+        ends.emplace_back(id, outcome);
+    }
+    void lost(SessionId, int, Outcome) override {}
+    void released(SessionId, int) override {}
+    void note(SessionId, int, ServerId, NoteKind, double) override {}
+    bool found(const core::FoundPlaying&) override { return false; }
+    void life(ServerId, Time) override {}
+    void probed(ServerId, Outcome, Time, const LoadReport&) override {}
+};
+
+// Told that a node drains, or is gone, while a connection to it was coming up: nothing is sent on it.
+TEST(RelayNodes, ASetUpUnderWayToANodeThatDrainsIsNotSent) {
+    for (const bool gone : {false, true}) {
+        io::World world(5);
+        auto& there = world.start("node");
+        auto& here = world.start("director");
+        const io::Address at{"127.0.0.1", 9001};
+        Node node(there, at);
+        Told told;
+        nodes::RelayNodes port(here, {});
+        port.attach(&told);
+        port.know({{1, {"s-0", at, true}}});
+        core::SetUp what;
+        what.session = 7, what.server = 1, what.expires = 1000;
+        port.set_up(what);
+        if (gone) port.know({});
+        else port.know({{1, {"s-0", at, false}}});
+        world.run_until(500);
+        EXPECT_TRUE(node.heard.empty());
+        ASSERT_EQ(told.ends.size(), 1u);
+        EXPECT_EQ(told.ends[0].second, Outcome::not_sent);
+    }
+}
+
+TEST(Relay, AConnectionWithASetUpTakenNeverGivesWay) {
+    Rig rig(1, 32);
+    rig.nodes[0]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+    };
+    std::vector<Viewer*> all;
+    for (std::uint64_t id = 1; id <= 12; ++id) {
+        all.push_back(&rig.viewer());
+        all.back()->say(setup_line(id, "free one", 1500));
+    }
+    rig.run(100);
+    for (int k = 0; k < 40; ++k) rig.viewer();
+    rig.run(3000);
+    for (const Viewer* v : all) EXPECT_EQ(v->heard.size(), 1u);
+}
+
+TEST(Relay, AtTheEndWhatStillComesIsRefusedAndNotTaken) {
+    Rig rig;
+    rig.nodes[0]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+    };
+    Viewer &v = rig.viewer(), &late = rig.viewer();
+    v.say(setup_line(1, "paid", 3000));
+    rig.run(100);
+    bool done = false;
+    rig.director->stop([&] { done = true; });
+    rig.run(700);
+    late.say(setup_line(2, "paid", 3000));
+    rig.run(20);
+    EXPECT_EQ(rig.director->engine().counts().taken, 2u) << "taken for 0.75 s";
+    rig.run(100);
+    const auto before = late.heard.size();
+    late.say(setup_line(3, "paid", 3000));
+    rig.run(20);
+    EXPECT_EQ(rig.director->engine().counts().taken, 2u);
+    ASSERT_EQ(late.heard.size(), before + 1);
+    EXPECT_EQ(late.heard.back().session, 3u);
+    EXPECT_EQ(late.heard.back().cause, 34);
+    rig.run(3000);
+    EXPECT_TRUE(done);
+    EXPECT_EQ(v.heard.size(), 1u);
 }
 
 // Everything goes wrong at once, by seed: nodes that answer, refuse, spoil, repeat, fall silent, reset or are
@@ -603,6 +732,23 @@
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, RelayStorm, ::testing::Range(1, 101));
 
+TEST(RelayConfig, TheExampleServes) {
+    const auto read = [](const char* name) {
+        std::ifstream in(std::string(IVYFIELD_SOURCE_DIR) + "/examples/" + name);
+        return std::string(std::istreambuf_iterator<char>(in), {});
+    };
+    io::World world(3);
+    cli::RelayProcess director(world.start("director"), config::read_relay_config(read("relay.json")), "");
+    Viewer v(world.start("viewer"), {"127.0.0.1", 5060});
+    v.stream->write(read("relay-viewer.jsonl"));
+    world.run_until(1000);
+    ASSERT_EQ(v.heard.size(), 2u);
+    EXPECT_EQ(v.heard[0].type, Type::pong);
+    EXPECT_EQ(v.heard[1].type, Type::release);
+    EXPECT_EQ(v.heard[1].cause, 34);
+    EXPECT_EQ(v.heard[1].fields.count("wait"), 1u);
+}
+
 TEST(RelayConfig, FaultsNameTheirPlace) {
     const std::string good = config_text({{"s-0", {"127.0.0.1", 9001}}}, "127.0.0.1:5300");
     const config::RelayConfig c = config::read_relay_config(good);
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -161,7 +161,9 @@
     }
 };
 
-inline std::string config_text(const std::vector<Listed>& nodes, const std::string& dns, int sockets = 256) {
+// `cold_ms`: how long a node that has started takes set-ups at a slow pace only; 0: no such rule.
+inline std::string config_text(const std::vector<Listed>& nodes, const std::string& dns, int sockets = 256,
+                               int cold_ms = 0) {
     std::string targets;
     for (const Listed& n : nodes)
         targets += std::string(targets.empty() ? "" : ",") + R"({"uid":")" + n.uid + R"(","endpoint":")" +
@@ -177,7 +179,11 @@
           "limits":{"probes":true,"cancel":true,"max_attempts":4,
             "retry_after":true,"max_retry_after_ms":2000.0,
             "connect_timeout_ms":250.0,"idle_close_ms":15000.0},
-          "safety":{"answer_slack_ms":40.0,"stop_sending_within_ms":500.0,"cold_from":1.0,"cold_ms":0.0},
+          "safety":{"answer_slack_ms":40.0,"stop_sending_within_ms":500.0,"cold_from":0.5,
+            "tip_multiple":)" +
+           std::to_string(cold_ms ? 4 : 0) + R"(,"tip_after_ms":1000.0,
+            "cold_ms":)" +
+           std::to_string(cold_ms) + R"(},
           "telemetry":{"how":"probe","names":["inflight","x0","x1"]},"weight_source":"nominal",
           "classes":[{"name":"paid","effect":"side_effect","objective_ms":1500.0,"give_up_ms":5000.0,
               "importance":3.0},
@@ -213,14 +219,14 @@
     std::unique_ptr<cli::RelayProcess> director;
     std::list<Viewer> viewers;
 
-    explicit Rig(int count = 1, int sockets = 256) {
+    explicit Rig(int count = 1, int sockets = 256, int cold_ms = 0) {
         for (int k = 0; k < count; ++k) {
             listed.push_back({"s-" + std::to_string(k), {"127.0.0.1", static_cast<std::uint16_t>(9001 + k)}});
             nodes.push_back(std::make_unique<Node>(nodes_loop, listed.back().address));
         }
         names = std::make_unique<NameServer>(names_loop, dns, 3, listed);
         director = std::make_unique<cli::RelayProcess>(
-            loop, config::read_relay_config(config_text(listed, dns.text(), sockets)), "");
+            loop, config::read_relay_config(config_text(listed, dns.text(), sockets, cold_ms)), "");
     }
     ~Rig() {
         viewers.clear();
