Ends of sessions are not lost with the connection that carried them

Ruled out by traces: viewers' side (no word of those sessions), the node's silence (it spoke all the time), the list. Found: a node sends an end on one connection and again on the next one opened; the director closed that connection (with a reset) in the same moment and opened no other for 5 to 11 s, since others were open.

Change: connections are ended and read on for up to 1 s, not cut; after one that broke a new one is dialled in 20 ms, waits doubling for a node that resets them; the look asks again. Each has a test that fails without it.

--- a/src/decide/presence.cpp
+++ b/src/decide/presence.cpp
@@ -31,4 +31,6 @@
 
 Time Presence::look_at(Time now) const { return std::max(now + kNextLook, heard_ + kSilent); }
 
+bool Presence::silent(Time now) const { return now >= heard_ + kSilent; }
+
 }  // namespace ivyfield::decide
--- a/src/decide/presence.hpp
+++ b/src/decide/presence.hpp
@@ -14,8 +14,9 @@
     // A dial that began then has not come up; `refused`: by a machine that is there, with no process at its
     // port. True: the node is gone, and with it all that stood there.
     bool dial_failed(Time began, Time now, bool refused);
-    // When a node with sessions is to be dialled, if nothing is heard from it until then.
+    // When to ask again whether a node with sessions is to be dialled, and whether it is now.
     Time look_at(Time now) const;
+    bool silent(Time now) const;
 
   private:
     Time heard_ = 0, failed_ = 0;
--- a/src/nodes/relay/nodes.cpp
+++ b/src/nodes/relay/nodes.cpp
@@ -13,8 +13,11 @@
 
 namespace {
 
-// After a connection that nodes with sessions need is lost, the next dial waits so long, doubling.
-constexpr io::Time kRedial = 50, kLongestRedial = 1600;
+// After a connection that nodes with sessions need is lost, the next dial waits so long, doubling: long
+// enough for the node to know that the old one is gone.
+constexpr io::Time kRedial = 20, kLongestRedial = 1600;
+// A connection that we end is read on for so long: what its node sent before it saw the end still counts.
+constexpr io::Time kLinger = 1000;
 // Idle connections are closed by us well before the node does: a set-up that crosses its close is lost.
 constexpr double kIdlePart = 0.6;
 constexpr io::Time kSweep = 1000;
@@ -27,6 +30,8 @@
     std::unique_ptr<io::Stream> stream;
     relay::FrameDecoder decoder;
     bool up = false, gone = false;
+    bool ending = false;  // nothing is sent on it any more; read until its node ends it too
+    io::Timer linger;
     io::Time dialled = 0, used = 0;
     // One set-up, as long as there is room for more connections.
     struct Open {
@@ -42,7 +47,8 @@
     bool watched = false;   // and came up
 
     Connection(RelayNodes& o, Node& n) : owner(o), node(n) {}
-    bool idle() const { return open.empty() && !testing; }
+    bool usable() const { return up && !ending; }
+    bool idle() const { return open.empty() && !testing && !ending; }
     void on_open() override { owner.opened(*this); }
     void on_data(std::string_view bytes) override { owner.heard(*this, bytes); }
     void on_end() override { owner.closed(*this, true, io::Closing::clean); }
@@ -56,7 +62,10 @@
     std::list<std::unique_ptr<Connection>> connections;
     std::map<SessionId, Standing> standing;
     decide::Presence presence;
-    io::Time redial_wait = 0;
+    // A connection that was up has been lost: what ended there meanwhile is told on the next one that is
+    // opened.
+    bool lost_one = false, redialling = false;
+    io::Time lost_at = 0, redial_wait = kRedial;
     io::Timer redial, watch;
 };
 
@@ -132,7 +141,8 @@
 void RelayNodes::drop(Connection& c) {
     if (c.gone) return;
     c.gone = true;
-    connections_ -= 1;
+    if (!c.ending) connections_ -= 1;
+    c.linger.stop();
     c.stream->set_handler(nullptr);
     c.test_timer.stop();
     Node& node = c.node;
@@ -152,6 +162,25 @@
     });
 }
 
+// Ends an idle connection. Its node may be sending the end of a session on it that very moment: closed at
+// once, the bytes on their way would be lost, and that session with them.
+void RelayNodes::retire(Connection& c) {
+    if (!c.up) return drop(c);
+    c.ending = true;
+    connections_ -= 1;
+    c.stream->end();
+    c.linger = loop_.after(kLinger, [this, &c] {
+        Node& node = c.node;
+        lose(c);
+        keep_up(node);
+    });
+}
+// Closes a connection that was up, whatever is under way on it.
+void RelayNodes::lose(Connection& c) {
+    if (c.up) c.node.lost_one = true, c.node.lost_at = loop_.now();
+    drop(c);
+}
+
 void RelayNodes::write(Connection& c, const NodeMessage& message) {
     c.used = loop_.now();
     c.stream->write(relay::write_frame(message));
@@ -160,7 +189,7 @@
 bool RelayNodes::tell(Node& node, const NodeMessage& message) {
     Connection* best = nullptr;
     for (const auto& c : node.connections)
-        if (c->up && (!best || c->used > best->used)) best = c.get();
+        if (c->usable() && (!best || c->used > best->used)) best = c.get();
     if (best) write(*best, message);
     return best != nullptr;
 }
@@ -173,10 +202,11 @@
         Connection* old = nullptr;
         for (const auto& one : node.connections)
             if (one->watched && one->idle()) old = one.get();
-        if (old) drop(*old);
+        if (old) retire(*old);
         c.watched = true;
     }
-    node.redial_wait = 0;
+    // One dialled in the same moment may be there before the node knows that the other is gone.
+    if (c.dialled > node.lost_at) node.lost_one = false;
     node.presence.heard(loop_.now());
     std::vector<SessionId> waiting;
     for (const auto& [id, open] : c.open)
@@ -216,7 +246,8 @@
     if (c.gone) return;
     const bool refused = why == io::Closing::refused, no_room = why == io::Closing::no_resources;
     Node& node = c.node;
-    drop(c);  // owned by dead_ until this returns to the loop
+    if (c.ending && why == io::Closing::clean) return drop(c);  // its node has sent all and ended it too
+    lose(c);  // owned by dead_ until this returns to the loop
     counts_.resets += came_up;
     // Our own want of descriptors tells nothing of the node.
     const bool lost = !came_up && !no_room && node.presence.dial_failed(c.dialled, loop_.now(), refused);
@@ -242,15 +273,21 @@
     if (node.standing.empty() || !node.listed) {
         node.redial.stop();
         node.watch.stop();
+        node.redialling = node.lost_one = false;
         return;
     }
-    if (node.connections.empty()) {
+    const auto any = [](const Node& n) {
+        return std::any_of(n.connections.begin(), n.connections.end(),
+                           [](const auto& c) { return !c->ending; });
+    };
+    if (!node.redialling && (node.lost_one || !any(node))) {
         const ServerId id = node.id;
-        node.redial = loop_.after(node.redial_wait, [this, id] {
+        node.redialling = true;
+        node.redial = loop_.after(node.redial_wait, [this, id, any] {
             Node* n = find(id);
-            if (!n || n->standing.empty() || !n->listed) return;
-            n->redial_wait = std::min(kLongestRedial, std::max(kRedial, 2 * n->redial_wait));
-            if (n->connections.empty()) dial(*n);
+            n->redialling = false;
+            n->redial_wait = std::min(kLongestRedial, 2 * n->redial_wait);
+            if (n->lost_one || !any(*n)) dial(*n);
         });
     }
     watch(node);
@@ -262,7 +299,7 @@
         if (!n || n->standing.empty() || !n->listed) return;
         const bool dialling =
             std::any_of(n->connections.begin(), n->connections.end(), [](const auto& c) { return !c->up; });
-        if (!dialling) dial(*n).watching = true;
+        if (n->presence.silent(loop_.now()) && !dialling) dial(*n).watching = true;
         watch(*n);
     });
 }
@@ -286,7 +323,7 @@
     for (const auto& [id, node] : nodes_) {
         std::vector<Connection*> old;
         std::size_t up = 0;
-        for (const auto& c : node->connections) up += c->up;
+        for (const auto& c : node->connections) up += c->usable();
         for (const auto& c : node->connections) {
             if (!c->idle() || !c->up || limits_.idle_close <= 0) continue;
             if (loop_.now() - c->used <= limits_.idle_close * kIdlePart) continue;
@@ -294,7 +331,7 @@
             up -= 1;
             old.push_back(c.get());
         }
-        for (Connection* c : old) drop(*c);
+        for (Connection* c : old) retire(*c);
     }
     sweep_ = loop_.after(kSweep, [this] { sweep(); });
 }
@@ -311,7 +348,7 @@
     if (!c && !room()) {
         // Out of room: shared, with the fewest others.
         for (const auto& one : node->connections)
-            if (!one->testing && (!c || one->open.size() < c->open.size())) c = one.get();
+            if (!one->testing && !one->ending && (!c || one->open.size() < c->open.size())) c = one.get();
         if (!c) {
             // Nothing has left, and the node is not to blame.
             loop_.post([this, what] { events_->over(what.session, what.attempt, Outcome::not_sent, {}); });
@@ -334,7 +371,7 @@
             if (c->idle() && c->up && (!oldest || c->used < oldest->used)) oldest = c.get();
     }
     if (!oldest) return false;
-    drop(*oldest);
+    retire(*oldest);
     return true;
 }
 
@@ -374,12 +411,12 @@
     for (const auto& c : node->connections) {
         const auto it = c->open.find(session);
         if (it == c->open.end() || it->second.what.attempt != attempt) continue;
-        // Given up in words and, where nothing else is open on it, by closing: a process that hangs reads
+        // Given up in words and, where nothing else is open on it, by ending it: a process that hangs reads
         // neither in time, and an answer that comes all the same finds nobody.
         if (it->second.written) write(*c, m);
         c->open.erase(it);
         Connection& one = *c;
-        if (one.open.empty()) drop(one);
+        if (one.open.empty()) retire(one);
         keep_up(*node);
         return;
     }
@@ -408,8 +445,8 @@
     counts_.tests += 1;
     c->test_timer = loop_.after(limits_.connect_timeout, [this, c] {
         Node& n = c->node;
-        drop(*c);
         test_over(*c, Outcome::timed_out, {});
+        retire(*c);
         keep_up(n);
     });
     if (!up) return;
@@ -445,6 +482,7 @@
 
 void RelayNodes::heard(Connection& c, std::string_view bytes) {
     c.node.presence.heard(loop_.now());
+    c.node.redial_wait = kRedial;  // a connection that only comes up is no sign that the next will last
     c.used = loop_.now();
     while (!c.gone && !bytes.empty()) {
         const auto result = c.decoder.next(bytes);
--- a/src/nodes/relay/nodes.hpp
+++ b/src/nodes/relay/nodes.hpp
@@ -82,6 +82,8 @@
     bool begins(Connection& c, const relay::NodeMessage& message);
     void closed(Connection& c, bool came_up, io::Closing why);
     void drop(Connection& c);
+    void retire(Connection& c);
+    void lose(Connection& c);
     void set_up_over(Connection& c, SessionId session, Outcome outcome, const LoadReport& report);
     bool room();
     void test_over(Connection& c, Outcome outcome, const LoadReport& report);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -312,6 +312,71 @@
     EXPECT_EQ(rig.director->engine().open_sessions(), 0u);
 }
 
+// A release was on its way on a connection that broke; it comes again on the next one that is opened, and a
+// director that has others open must open one all the same.
+TEST(Relay, ALostConnectionIsFollowedByANewOneThoughOthersAreOpen) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    for (std::uint64_t id = 1; id <= 4; ++id) v.say(setup_line(id, "paid"));
+    rig.run(500);
+    ASSERT_EQ(v.of(Type::answer).size(), 4u);
+    ASSERT_GE(rig.nodes[0]->open_links(), 2u);
+    rig.nodes[0]->at_open = [](auto& link) { link.send(Type::release, 1, 16); };
+    rig.nodes[0]->links.front().stream.reset();
+    rig.run(200);
+    ASSERT_EQ(v.of(Type::release).size(), 1u);
+    EXPECT_EQ(v.of(Type::release)[0].session, 1u);
+}
+
+// What a node sends on a connection before it sees that the director ends it is heard.
+TEST(Relay, AnEndThatCrossesTheClosingOfItsConnectionIsHeard) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid"));
+    rig.run(300);
+    ASSERT_EQ(v.of(Type::answer).size(), 1u);
+    // Another set-up is given up by its viewer: its connection is ended.
+    rig.nodes[0]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+    };
+    rig.nodes[0]->at_end = [](auto& link) { link.send(Type::release, 1, 16); };
+    v.say(setup_line(2, "free one"));
+    rig.run(200);
+    v.say(release_line(2, 16));
+    rig.run(200);
+    ASSERT_EQ(v.of(Type::release).size(), 1u);
+    EXPECT_EQ(v.of(Type::release)[0].session, 1u);
+}
+
+TEST(Relay, ANodeThatResetsEachConnectionIsNotDialledWithoutEnd) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid"));
+    rig.run(300);
+    ASSERT_EQ(v.of(Type::answer).size(), 1u);
+    const auto before = rig.nodes[0]->links.size();
+    rig.nodes[0]->at_open = [&](auto& link) { rig.nodes_loop.post([&link] { link.stream.reset(); }); };
+    rig.nodes[0]->links.front().stream.reset();
+    for (auto& link : rig.nodes[0]->links) link.stream.reset();
+    rig.run(5000);
+    EXPECT_GE(rig.nodes[0]->links.size(), before + 4);
+    EXPECT_LE(rig.nodes[0]->links.size(), before + 14);
+}
+
+// While its node speaks nothing is dialled to see whether its machine is there.
+TEST(Relay, ANodeThatIsHeardIsNotLookedFor) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid"));
+    rig.run(300);
+    const auto dials = rig.director->nodes().counts().dials;
+    for (int k = 0; k < 40; ++k) {
+        rig.nodes[0]->links.back().send(Type::note, 1, -1, {{47, "share"}, {57, "0.99"}});
+        rig.run(250);
+    }
+    EXPECT_EQ(rig.director->nodes().counts().dials, dials);
+}
+
 TEST(Relay, AMachineThatVanishesIsNoticedAndOneThatHangsIsNot) {
     Rig rig;
     rig.nodes[0]->react = [](auto& link, const auto& m) {
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -35,7 +35,10 @@
                 if (owner.react) owner.react(*this, m);
             }
         }
-        void on_end() override { stream->end(); }
+        void on_end() override {
+            if (owner.at_end) owner.at_end(*this);
+            stream->end();
+        }
         void on_closed(io::Closing) override { open = false; }
         void send(const NodeMessage& m) { stream->write(relay::write_frame(m)); }
         void send(Type type, std::uint64_t session, int cause = -1, std::map<int, std::string> with = {}) {
@@ -48,6 +51,7 @@
     std::list<Link> links;
     std::vector<NodeMessage> heard;
     std::function<void(Link&, const NodeMessage&)> react;
+    std::function<void(Link&)> at_open, at_end;  // a connection comes; the director ends one
     std::unique_ptr<io::Listener> listener;
 
     Node(io::Loop& loop, const io::Address& at) {
@@ -55,6 +59,7 @@
             auto& link = links.emplace_back(*this);
             link.stream = std::move(stream);
             link.stream->set_handler(&link);
+            if (at_open) at_open(link);
         });
         react = [](Link& link, const NodeMessage& m) {
             if (m.type == Type::setup)
