--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -70,16 +70,18 @@
     if (const std::size_t files = io::raise_file_limit()) config.sockets = std::min(config.sockets, files);
     io::never_wait_for_log();
     io::EvLoop loop(config.seed);
-    cli::RelayProcess director(loop, config, "-");
+    // Before anybody can know that we run: a signal that nobody waits for ends the process.
+    std::optional<cli::RelayProcess> director;
     loop.on_signal(SIGHUP, [&] {
         try {
-            director.reload(config::read_relay_config(config::read_file(path)));
+            director->reload(config::read_relay_config(config::read_file(path)));
         } catch (const std::exception& e) {
-            director.remark(log::Level::error, "not reloaded", {{"why", e.what()}});
+            director->remark(log::Level::error, "not reloaded", {{"why", path + ": " + e.what()}});
         }
     });
     for (const int number : {SIGINT, SIGTERM})
-        loop.on_signal(number, [&] { director.stop([&] { loop.stop(); }); });
+        loop.on_signal(number, [&] { director->stop([&] { loop.stop(); }); });
+    director.emplace(loop, config, "-");
     loop.run();
     return 0;
 }
--- a/src/cli/relay.cpp
+++ b/src/cli/relay.cpp
@@ -14,9 +14,7 @@
 namespace {
 
 constexpr const char* kService = "_api._tcp.svc.local";
-// At a planned restart requests are sent here for up to 0.6 s more; all that came within this is answered.
-constexpr io::Time kTakeOn = 750;
-constexpr io::Time kLookEvery = 20, kFlush = 500;
+constexpr io::Time kLookEvery = 20;
 constexpr io::Time kStatusEvery = 5000;
 constexpr io::Time kConfirmEvery = 1000;
 // Bad set-ups are told one by one up to here, then only counted: who sends them does not write our log.
@@ -80,7 +78,7 @@
     };
     front_.first_set_up = [this] { begin(); };
     remark(log::Level::info, "started",
-           {{"listen", config.listen.text()}, {"list", config.dns.text()}, {"nodes", members_.size()}});
+           {{"listen", front_.address().text()}, {"list", config.dns.text()}, {"nodes", members_.size()}});
     status_timer_ = loop_.after(kStatusEvery, [this] { tell_status(); });
 }
 void RelayProcess::tell_status() {
@@ -180,19 +178,25 @@
 }
 
 void RelayProcess::stop(std::function<void()> done) {
-    if (done_) return;
+    if (shutdown_) return;
     done_ = std::move(done);
-    stop_asked_ = loop_.now();
+    shutdown_.emplace(config_.settings, loop_.now());
+    engine_.answer_by(shutdown_->answer_by());
+    front_.stop_taking(shutdown_->take_until());
     remark(log::Level::info, "stopping", {{"owed", engine_.owed()}});
     stopping();
 }
 void RelayProcess::stopping() {
-    const io::Time since = loop_.now() - stop_asked_;
-    if (since >= kTakeOn) front_.stop_taking();
-    if (since < kTakeOn || engine_.owed() > 0) answered_ = loop_.now();
-    // A viewer that does not read what it is sent holds nobody up.
-    else if (front_.drained() || loop_.now() - answered_ >= kFlush) return done_();
-    stop_timer_ = loop_.after(kLookEvery, [this] { stopping(); });
+    const decide::Unfinished left{engine_.owed(), !front_.drained() || !nodes_.drained(), front_.heard_at()};
+    if (!shutdown_->leaves(loop_.now(), left)) {
+        stop_timer_ = loop_.after(kLookEvery, [this] { stopping(); });
+        return;
+    }
+    // Our ends follow the last words; the process leaves once they are out.
+    front_.end_all();
+    nodes_.end_all();
+    remark(log::Level::info, "stopped", status());
+    loop_.post([this] { done_(); });
 }
 
 void RelayProcess::ended(const core::SessionRecord& r) {
--- a/src/cli/relay.hpp
+++ b/src/cli/relay.hpp
@@ -6,6 +6,7 @@
 
 #include "config/relay.hpp"
 #include "core/engine.hpp"
+#include "decide/shutdown.hpp"
 #include "discovery/srv/srv.hpp"
 #include "fronts/relay/front.hpp"
 #include "log/log.hpp"
@@ -53,7 +54,7 @@
     io::Time confirmed_ = 0;
     int bad_told_ = 0;
     std::function<void()> done_;
-    io::Time stop_asked_ = 0, answered_ = 0;
+    std::optional<decide::Shutdown> shutdown_;
     io::Timer stop_timer_, status_timer_;
 };
 
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -7,6 +7,7 @@
 
 #include "core/outcomes.hpp"
 #include "decide/claims.hpp"
+#include "decide/endings.hpp"
 
 namespace ivyfield::core {
 
@@ -127,7 +128,7 @@
     s.record.ask = ask;
     s.record.taken = loop_.now();
     const ClassSettings& cls = settings_.classes.at(static_cast<std::size_t>(ask.cls));
-    s.record.deadline = ask.number ? ask.deadline : loop_.now() + cls.patience;
+    s.record.deadline = std::min(ask.number ? ask.deadline : loop_.now() + cls.patience, answer_by_);
     s.record.returning = ask.again;
     s.rung = cls.floor;
     s.waiters.push_back(waiter);
@@ -140,12 +141,20 @@
     owed_ += 1;
     sessions_.emplace(id, std::move(owned));
     by_key_.emplace(k, id);
-    s.deadline =
-        loop_.at(s.record.deadline + settings_.answer_slack / 2, [this, id] { deadline_passed(id); });
+    s.deadline = loop_.at(std::min(s.record.deadline + settings_.answer_slack / 2, answer_by_),
+                          [this, id] { deadline_passed(id); });
     feed(request_of(s));
     return id;
 }
 
+void Engine::answer_by(Time last) {
+    answer_by_ = std::min(answer_by_, last);
+    for (const auto& [id, s] : sessions_) {
+        if (s->record.answered || s->record.deadline <= answer_by_) continue;
+        s->deadline = loop_.at(answer_by_, [this, id = id] { deadline_passed(id); });
+    }
+}
+
 SessionRequest Engine::request_of(const Session& s) const {
     const Ask& ask = s.record.ask;
     SessionRequest request;
@@ -176,6 +185,10 @@
     answer(s, Answer::abandoned);
     if (s.state == State::held) finish(id, "player");
     else s.state = State::left;
+    nobody_waits(id);
+}
+
+void Engine::nobody_waits(SessionId id) {
     feed(SessionAbandoned{id});
     // Where its node can be told, it is: the set-up is of no use to anyone now.
     if (!nodes_.cancel_is_final()) return;
@@ -196,7 +209,7 @@
     answer(s, Answer::failed);
     if (s.state == State::held) finish(id, "director");
     else s.state = State::left;
-    feed(SessionAbandoned{id});
+    nobody_waits(id);
 }
 
 void Engine::answer(Session& s, Answer answer) {
@@ -440,7 +453,10 @@
     if (was == State::playing) {
         playing_ -= 1;
         counts_.reset += outcome == Outcome::reset;
-        if (on_gone) on_gone(id, !s.hung_up && !s.moving && outcome != Outcome::cancelled, false);
+        const bool told = s.record.answer == Answer::plays;
+        const bool owed =
+            decide::owes_release({outcome, told, s.hung_up, s.moving, loop_.now() - s.record.answered_at});
+        if (on_gone) on_gone(id, owed, false);
     }
     if (s.record.answered)
         finish(id, s.moving ? "director" : s.hung_up || was != State::playing ? "player" : "node");
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -16,6 +16,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <stdexcept>
 #include <vector>
@@ -88,6 +89,8 @@
     // Its viewer has ended a session that stands; false: none of that number does.
     bool hang_up(SessionId id);
     bool knows(SessionId id) const { return sessions_.count(id) != 0; }
+    // The process ends: whoever is owed an answer, now or later, has it by that time.
+    void answer_by(Time last);
     // Sessions that are owed an answer.
     std::size_t owed() const { return owed_; }
     void take_list(const ServerList& list);
@@ -143,6 +146,7 @@
     void seat(const Session& s, int by);
     SessionRequest request_of(const Session& s) const;
     void deadline_passed(SessionId id);
+    void nobody_waits(SessionId id);
     void finish(SessionId id, const char* by);
     std::string key(const Ask& ask) const;
     Session& take_over(SessionId id, const Ask& ask, ServerId server, int attempt, int rung);
@@ -158,6 +162,7 @@
     const SessionId first_id_;
     SessionId last_id_;
     std::size_t playing_ = 0, owed_ = 0;
+    Time answer_by_ = std::numeric_limits<Time>::infinity();
     std::map<SessionId, std::unique_ptr<Session>> sessions_;
     std::map<std::pair<SessionId, int>, Doubt> doubts_;
     std::map<std::pair<TitleId, int>, int> held_;  // by title and class: attempts that count, doubtful too
--- a/src/discovery/srv/srv.cpp
+++ b/src/discovery/srv/srv.cpp
@@ -11,10 +11,9 @@
 
 namespace {
 
-// An event counts as told 1.5 s after it happened, whether or not an answer came: several answers may be lost
-// on the way to that.
-constexpr io::Time kAskEvery = 250;
-constexpr std::size_t kOpenQueries = 8;
+// So many queries are remembered: an answer that is late by some ten seconds is still known as one. Numbered
+// as it is, it tells what it knew.
+constexpr std::size_t kOpenQueries = 64;
 constexpr std::size_t kMostMembers = 4096;
 
 template <typename T, void (*Free)(T*)>
@@ -182,7 +181,12 @@
 
 SrvList::SrvList(io::Loop& loop, const io::Address& server, const std::string& name, std::uint32_t known,
                  Changed changed)
-    : loop_(loop), server_(server), name_(name), serial_(known), changed_(std::move(changed)) {
+    : loop_(loop),
+      server_(server),
+      name_(name),
+      serial_(known),
+      changed_(std::move(changed)),
+      polling_(loop.now()) {
     const char* any = server.host.find(':') == std::string::npos ? "0.0.0.0" : "::";
     socket_ = loop.datagram({any, 0},
                             [this](const io::Address& from, std::string_view bytes) { heard(from, bytes); });
@@ -190,16 +194,18 @@
 }
 
 void SrvList::move_to(const io::Address& server) {
+    if (server == server_) return;
     server_ = server;
-    asked_.clear();
+    open_.clear();
+    polling_ = decide::Polling(loop_.now());
     next_ = loop_.after(0, [this] { ask(); });
 }
 
 void SrvList::ask() {
-    next_ = loop_.after(kAskEvery, [this] { ask(); });
+    next_ = loop_.after(polling_.next(loop_.now()), [this] { ask(); });
     const auto id = static_cast<std::uint16_t>(loop_.random()());
-    if (asked_.size() >= kOpenQueries) asked_.erase(asked_.begin()), counts_.unanswered += 1;
-    asked_.push_back(id);
+    if (open_.size() >= kOpenQueries) open_.pop_front(), counts_.unanswered += 1;
+    open_.push_back({id, loop_.now()});
     counts_.asked += 1;
     socket_->send(server_, srv_query(name_, id));
 }
@@ -211,8 +217,8 @@
     }
     const auto id = static_cast<std::uint16_t>(static_cast<unsigned char>(bytes[0]) << 8 |
                                                static_cast<unsigned char>(bytes[1]));
-    const auto it = std::find(asked_.begin(), asked_.end(), id);
-    if (it == asked_.end()) {
+    const auto it = std::find_if(open_.begin(), open_.end(), [&](const Query& q) { return q.id == id; });
+    if (it == open_.end()) {
         counts_.bad += 1;
         return;
     }
@@ -221,12 +227,14 @@
         counts_.bad += 1;
         return;
     }
-    asked_.erase(asked_.begin(), it + 1);
+    polling_.heard(loop_.now());
+    const bool fresh = decide::Polling::fresh(it->asked, loop_.now());
+    open_.erase(it);
     if (answer->serial < serial_) {
         counts_.older += 1;
     } else if (answer->serial == serial_) {
         counts_.same += 1;
-        changed_(answer->members, false);
+        if (fresh) changed_(answer->members, false);
     } else {
         counts_.taken += 1;
         serial_ = answer->serial;
--- a/src/discovery/srv/srv.hpp
+++ b/src/discovery/srv/srv.hpp
@@ -4,11 +4,12 @@
 // and is asked for again. What can't be had for seconds leaves the last list in force.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
+#include "decide/polling.hpp"
 #include "io/loop.hpp"
 #include "ivyfield/director.hpp"
 
@@ -48,7 +49,8 @@
 
 class SrvList {
   public:
-    // Each good answer that is not older than the last: a whole list, new or the same again.
+    // Each good answer that is not older than the last: a whole list, new or, if it is of this moment, the
+    // same again.
     using Changed = std::function<void(const Members& all, bool is_new)>;
     // `known`: the number of the last event that `members` holds.
     SrvList(io::Loop& loop, const io::Address& server, const std::string& name, std::uint32_t known,
@@ -67,7 +69,12 @@
     std::uint32_t serial_;
     Changed changed_;
     std::unique_ptr<io::Datagram> socket_;
-    std::vector<std::uint16_t> asked_;  // ids of queries that may still be answered, the last ones
+    struct Query {
+        std::uint16_t id;
+        io::Time asked;
+    };
+    std::deque<Query> open_;  // that may still be answered, oldest first
+    decide::Polling polling_;
     io::Timer next_;
     SrvCounts counts_;
     std::string fault_;
--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <set>
 
+#include "decide/endings.hpp"
+
 namespace ivyfield::fronts {
 
 using relay::Type;
@@ -31,6 +33,13 @@
     std::set<SessionId> standing;  // sessions that were set up on it and stand
     bool carried = false;          // a set-up that could be used has come on it
     bool ending = false;           // only drained and closed from here on
+    bool unread = false;           // its viewer does not read what it is sent
+    struct Told {
+        io::Time when;
+        SessionId id;
+        bool moved;
+    };
+    std::deque<Told> told;  // ends told on it a moment ago: they may have crossed its close
     bool gone = false;
     io::Time used = 0, ended = 0;
 
@@ -97,6 +106,7 @@
 // ---- Connections ----
 
 void RelayFront::accepted(std::unique_ptr<io::Stream> stream) {
+    heard_at_ = loop_.now();
     if (!make_room()) {  // closed with nothing sent on it: nothing has been taken by it
         counts_.turned_away += 1;
         return;
@@ -133,8 +143,11 @@
     const auto it = std::find_if(connections_.begin(), connections_.end(),
                                  [&](const auto& one) { return one.get() == &c; });
     c.stream->set_handler(nullptr);
+    const auto told = std::move(c.told);
     dead_.push_back(std::move(*it));
     connections_.erase(it);
+    for (const auto& one : told)
+        if (decide::may_have_crossed(loop_.now() - one.when)) gone(one.id, true, one.moved);
     if (burying_) return;
     burying_ = true;
     loop_.post([this] {
@@ -180,6 +193,11 @@
     sweep_ = loop_.after(kSweep, [this] { sweep(); });
 }
 
+void RelayFront::end_all() {
+    for (const auto& c : connections_)
+        if (!c->ending) c->ending = true, c->ended = loop_.now(), c->stream->end();
+}
+
 bool RelayFront::drained() const {
     return std::all_of(connections_.begin(), connections_.end(),
                        [](const auto& c) { return c->stream->pending() == 0; });
@@ -188,11 +206,17 @@
 void RelayFront::send(Connection& c, const ViewerMessage& m) {
     if (c.gone) return;
     c.used = loop_.now();
+    if (c.unread) return;
     c.stream->write(relay::write_line(m));
-    if (c.stream->pending() > limits_.unread_output) {
+    if (c.stream->pending() <= limits_.unread_output) return;
+    // Not within this call: it may be the module's refusal of one set-up, with the sending of another of the
+    // same connection still to be carried out.
+    c.unread = true;
+    loop_.post([this, &c] {
+        if (c.gone) return;
         leave_all(c);
         drop(c);
-    }
+    });
 }
 void RelayFront::release(Connection& c, const std::string& id, int cause, Time wait) {
     ViewerMessage m;
@@ -204,6 +228,7 @@
 // ---- What viewers say ----
 
 void RelayFront::heard(Connection& c, std::string_view bytes) {
+    heard_at_ = loop_.now();
     if (c.ending) return;
     c.used = loop_.now();
     while (!c.gone && !c.ending && !bytes.empty()) {
@@ -300,10 +325,16 @@
 void RelayFront::take_set_up(Connection& c, const ViewerMessage& m) {
     counts_.set_ups += 1;
     if (const auto it = requests_.find(m.session); it != requests_.end()) {
-        // Two requests under one number. On one connection an answer to either would be taken for both: it
-        // ends, and with it what is open on it. From another connection the second is turned away there.
+        // Two requests under one number. On one connection an answer to either would be taken for both:
+        // neither is served. What else is open on it belongs to others and goes on. From another connection
+        // the second alone is turned away there.
         counts_.repeated += 1;
-        if (it->second->connection == &c) return close(c);
+        if (it->second->connection == &c) {
+            const std::string first = it->second->id;
+            engine_.leave(m.session, it->second.get());
+            answered(m.session);
+            release(c, first, kUnusable);
+        }
         return release(c, m.id, kUnusable);
     }
     core::Ask ask;
@@ -336,7 +367,7 @@
         counts_.repeated += 1;
         return release(c, m.id, kUnusable);
     }
-    if (!decide::takes(limits_.intake, c.open.size(), stopping_)) {
+    if (!decide::takes(limits_.intake, c.open.size(), loop_.now() >= stop_taking_)) {
         counts_.turned_away += 1;
         return release(c, m.id, kRefused);
     }
@@ -410,6 +441,9 @@
     m.id = relay::hex(id);
     if (!moved) m.cause = kOver;
     counts_.releases += 1;
+    while (!c->told.empty() && !decide::may_have_crossed(loop_.now() - c->told.front().when))
+        c->told.pop_front();
+    c->told.push_back({loop_.now(), id, moved});
     send(*c, m);
 }
 void RelayFront::flush_kept(Connection& c) {
--- a/src/fronts/relay/front.hpp
+++ b/src/fronts/relay/front.hpp
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <list>
 #include <map>
 #include <memory>
@@ -55,8 +56,14 @@
 
     // A session that stood has ended or is moved; its viewer is told where that is owed.
     void gone(SessionId id, bool owed, bool moved);
-    // The end is near: no new connections, and set-ups that still come are refused.
-    void stop_taking() { stopping_ = true, listener_.reset(); }
+    // The end is near: set-ups that come from then on are refused. Connections are taken to the last: closing
+    // the listener would reset those that the system has accepted and nobody has read yet.
+    void stop_taking(io::Time from) { stop_taking_ = from; }
+    // When bytes or a connection last came; before it leaves a director has read all that did.
+    io::Time heard_at() const { return heard_at_; }
+    // No more is said: our end follows what is written. Reset, an answer on its way would be lost.
+    void end_all();
+    io::Address address() const { return listener_->address(); }  // with its port, where 0 was asked for
     std::size_t connections() const { return connections_.size(); }
     std::size_t open() const { return requests_.size(); }
     bool drained() const;
@@ -88,7 +95,8 @@
     RelayNames names_;
     RelayFrontLimits limits_;
     core::Engine& engine_;
-    bool began_ = false, stopping_ = false;
+    bool began_ = false;
+    io::Time heard_at_ = 0, stop_taking_ = std::numeric_limits<io::Time>::infinity();
     std::list<std::unique_ptr<Connection>> connections_;  // oldest first
     std::map<SessionId, std::unique_ptr<Request>> requests_;
     std::map<SessionId, Connection*> standing_;  // the connection of its set-up, while that lasts; else null
--- a/src/io/ev/ev_loop.cpp
+++ b/src/io/ev/ev_loop.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t kReadATurn = 64 * 1024;
 // After running out of descriptors the listener rests, else it would spin on the same connection.
 constexpr double kAcceptRest_s = 0.1;
+// Timers that run later than this have waited for the process, not for their time.
+constexpr Time kLate = 20;
 
 struct SocketAddress {
     sockaddr_storage storage{};
@@ -140,6 +142,13 @@
     }
     static void on_timer(struct ev_loop*, ev_timer* w, int) {
         auto* self = static_cast<Impl*>(w->data);
+        // A wait that a signal broke off (the one that continues a stopped process too) brings no input
+        // though there is some. Timers that are late by so much wait for one more look.
+        if (!self->looked_again && !self->timers.empty() && self->now - self->timers.first() > kLate) {
+            self->looked_again = true;
+            return;
+        }
+        self->looked_again = false;
         const std::uint64_t before = self->timers.mark();
         while (Task task = self->timers.take_due(self->now, before)) task();
     }
@@ -154,6 +163,7 @@
     ev_prepare prepare;
     ev_check check;
     Time now;
+    bool looked_again = false;
     TimerQueue timers;
     std::mt19937_64 random;
     std::list<SignalTask> signals;
--- a/src/nodes/relay/nodes.cpp
+++ b/src/nodes/relay/nodes.cpp
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <limits>
 #include <utility>
 
+#include "decide/endings.hpp"
+
 namespace ivyfield::nodes {
 
 using relay::Code;
@@ -20,6 +23,8 @@
 constexpr io::Time kLinger = 1000;
 // Idle connections are closed by us well before the node does: a set-up that crosses its close is lost.
 constexpr double kIdlePart = 0.6;
+// Ends that wait for a connection to one node; more than it has streams is a node that is gone.
+constexpr std::size_t kOwedEnds = 1024;
 constexpr io::Time kSweep = 1000;
 
 }  // namespace
@@ -43,6 +48,8 @@
     relay::SessionNumber test = 0;
     io::Time tested = 0;
     io::Timer test_timer;
+    // Ends told on it a moment ago: they may have crossed its closing.
+    std::deque<std::pair<io::Time, NodeMessage>> told;
     bool watching = false;  // dialled to see whether the machine is there
     bool watched = false;   // and came up
 
@@ -61,6 +68,7 @@
     bool listed = true;
     std::list<std::unique_ptr<Connection>> connections;
     std::map<SessionId, Standing> standing;
+    std::deque<NodeMessage> owed;  // ends of sessions that it has not been told, for want of a connection
     decide::Presence presence;
     // A connection that was up has been lost: what ended there meanwhile is told on the next one that is
     // opened.
@@ -178,6 +186,8 @@
 // Closes a connection that was up, whatever is under way on it.
 void RelayNodes::lose(Connection& c) {
     if (c.up) c.node.lost_one = true, c.node.lost_at = loop_.now();
+    for (const auto& [when, message] : c.told)
+        if (decide::may_have_crossed(loop_.now() - when)) c.node.owed.push_back(message);
     drop(c);
 }
 
@@ -185,13 +195,31 @@
     c.used = loop_.now();
     c.stream->write(relay::write_frame(message));
 }
-// On any connection that is up; false: there is none.
-bool RelayNodes::tell(Node& node, const NodeMessage& message) {
+// Of the connections that are up the one used last; none may be.
+RelayNodes::Connection* RelayNodes::usable(Node& node) {
     Connection* best = nullptr;
     for (const auto& c : node.connections)
         if (c->usable() && (!best || c->used > best->used)) best = c.get();
-    if (best) write(*best, message);
-    return best != nullptr;
+    return best;
+}
+void RelayNodes::tell(Node& node, const NodeMessage& message) {
+    if (Connection* c = usable(node)) write(*c, message);
+}
+// The end of a session that stands: with no connection to tell it on it is told on the next one, which
+// keep_up() dials. Untold, the session would play on for nobody.
+void RelayNodes::tell_end(Node& node, Type type, SessionId session) {
+    NodeMessage m;
+    m.type = type, m.session = session;
+    if (type == Type::release) m.cause = relay::kCauseGivenUp;
+    Connection* best = usable(node);
+    if (!best) {
+        if (node.owed.size() < kOwedEnds) node.owed.push_back(m);
+        return;
+    }
+    while (!best->told.empty() && !decide::may_have_crossed(loop_.now() - best->told.front().first))
+        best->told.pop_front();
+    best->told.emplace_back(loop_.now(), m);
+    write(*best, m);
 }
 
 void RelayNodes::opened(Connection& c) {
@@ -211,6 +239,10 @@
     std::vector<SessionId> waiting;
     for (const auto& [id, open] : c.open)
         if (!open.written) waiting.push_back(id);
+    for (const NodeMessage& m : std::exchange(node.owed, {})) {
+        c.told.emplace_back(loop_.now(), m);
+        write(c, m);
+    }
     for (const SessionId id : waiting) write_set_up(c, id);
     if (c.testing) {
         NodeMessage m;
@@ -270,7 +302,7 @@
 
 // Where sessions stand a connection stays, and the machine is looked for when nothing comes of it.
 void RelayNodes::keep_up(Node& node) {
-    if (node.standing.empty() || !node.listed) {
+    if ((node.standing.empty() && node.owed.empty()) || !node.listed) {
         node.redial.stop();
         node.watch.stop();
         node.redialling = node.lost_one = false;
@@ -305,6 +337,7 @@
 }
 
 void RelayNodes::lose_all(Node& node, const char* why) {
+    node.owed.clear();
     if (node.standing.empty()) return;
     if (on_remark)
         on_remark("node " + node.known.uid + " " + why + ": " + std::to_string(node.standing.size()) +
@@ -384,6 +417,19 @@
     });
 }
 
+bool RelayNodes::drained() const {
+    for (const auto& [id, node] : nodes_)
+        for (const auto& c : node->connections)
+            if (c->up && c->stream->pending() > 0) return false;
+    return true;
+}
+
+void RelayNodes::end_all() {
+    for (const auto& [id, node] : nodes_)
+        for (const auto& c : node->connections)
+            if (c->up) c->stream->end();
+}
+
 void RelayNodes::set_rung(ServerId server, SessionId session, int, int rung) {
     Node* node = find(server);
     if (!node) return;
@@ -396,9 +442,7 @@
 void RelayNodes::move(ServerId server, SessionId session, int attempt) {
     Node* node = find(server);
     if (!node || !node->standing.erase(session)) return;
-    NodeMessage m;
-    m.type = Type::move, m.session = session;
-    tell(*node, m);
+    tell_end(*node, Type::move, session);
     loop_.post([this, session, attempt] { events_->over(session, attempt, Outcome::cancelled, {}); });
     keep_up(*node);
 }
@@ -421,7 +465,7 @@
         return;
     }
     if (!node->standing.erase(session)) return;
-    tell(*node, m);
+    tell_end(*node, Type::release, session);
     loop_.post([this, session, attempt] { events_->over(session, attempt, Outcome::cancelled, {}); });
     keep_up(*node);
 }
--- a/src/nodes/relay/nodes.hpp
+++ b/src/nodes/relay/nodes.hpp
@@ -60,6 +60,10 @@
     void probe(ServerId server) override;
     bool cancel_is_final() const override { return true; }
 
+    // All that is written has left.
+    bool drained() const;
+    // Nothing more is said; what is written still leaves.
+    void end_all();
     const RelayCounts& counts() const { return counts_; }
     std::size_t connections() const { return connections_; }
     std::function<void(const std::string&)> on_remark;
@@ -75,7 +79,9 @@
     Connection& dial(Node& node);
     Connection* idle(Node& node, bool open_only);
     void write(Connection& c, const relay::NodeMessage& message);
-    bool tell(Node& node, const relay::NodeMessage& message);
+    Connection* usable(Node& node);
+    void tell(Node& node, const relay::NodeMessage& message);
+    void tell_end(Node& node, relay::Type type, SessionId session);
     void opened(Connection& c);
     void heard(Connection& c, std::string_view bytes);
     void take(Connection& c, const relay::NodeMessage& message);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -553,6 +553,161 @@
     EXPECT_EQ(late.heard.size(), 1u);
 }
 
+// Its viewer ends a session, and its node tells so a moment after its answer: the answer comes to one that
+// has left, and what it says must not stand for good. Later its viewer knew what it ended, and is owed
+// nothing.
+TEST(Relay, AnEndByTheViewerThatCrossesTheAnswerIsToldAndALaterOneIsNot) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    rig.nodes[0]->react = [&](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+        if (m.type != Type::setup) return;
+        link.send(Type::answer, m.session, -1, {{63, "x"}});
+        if (m.session == 1) link.send(Type::release, m.session, 31);
+    };
+    v.say(setup_line(1, "paid", 2000));
+    rig.run(200);
+    ASSERT_EQ(v.heard.size(), 2u);
+    EXPECT_EQ(v.heard[0].type, Type::answer);
+    EXPECT_EQ(v.heard[1].type, Type::release);
+    EXPECT_EQ(v.heard[1].session, 1u);
+    v.say(setup_line(2, "paid", 2000));
+    rig.run(500);
+    ASSERT_EQ(v.heard.size(), 3u);
+    for (auto& link : rig.nodes[0]->links)
+        if (link.open) link.send(Type::release, 2, 31);
+    rig.run(500);
+    EXPECT_EQ(v.heard.size(), 3u);
+    EXPECT_EQ(rig.director->engine().playing(), 0u);
+}
+
+// A viewer ends its session, and the module moves one, while no connection to the node is there, or on one
+// that its node has just closed: both are told on the next one. Untold, the node would play on for nobody.
+TEST(Relay, ANodeIsToldOfAnEndOnTheNextConnection) {
+    for (const bool crosses : {false, true}) {
+        Rig rig;
+        Viewer& v = rig.viewer();
+        v.say(setup_line(1, "paid", 2000));
+        rig.run(300);
+        ASSERT_EQ(v.of(Type::answer).size(), 1u);
+        for (auto& link : rig.nodes[0]->links) link.stream.reset();
+        if (!crosses) rig.run(2);  // the director knows; it dials a little later
+        v.say(release_line(1, 16));
+        rig.run(1000);
+        ASSERT_EQ(rig.nodes[0]->of(Type::release).size(), 1u) << crosses;
+        EXPECT_EQ(rig.nodes[0]->of(Type::release)[0].session, 1u);
+        EXPECT_EQ(rig.director->engine().playing(), 0u);
+    }
+}
+
+// A viewer's connection is closed in the moment in which the end of its session is told on it: it is told
+// again on another one.
+TEST(Relay, AnEndThatCrossesTheClosingOfItsViewersConnectionIsToldOnAnother) {
+    Rig rig;
+    Viewer &v = rig.viewer(), &other = rig.viewer();
+    v.say(setup_line(1, "paid", 2000));
+    other.say(setup_line(2, "paid", 2000));
+    rig.run(300);
+    ASSERT_EQ(v.of(Type::answer).size(), 1u);
+    for (auto& link : rig.nodes[0]->links)
+        if (link.open) {
+            link.send(Type::release, 1, 16);
+            break;
+        }
+    v.stream.reset();
+    rig.run(300);
+    ASSERT_EQ(other.of(Type::release).size(), 1u);
+    EXPECT_EQ(other.of(Type::release)[0].session, 1u);
+    // Long after the end was told a connection that closes tells nothing.
+    for (auto& link : rig.nodes[0]->links)
+        if (link.open) {
+            link.send(Type::release, 2, 16);
+            break;
+        }
+    Viewer& third = rig.viewer();
+    third.say(setup_line(3, "paid", 2000));
+    rig.run(300);
+    ASSERT_EQ(other.of(Type::release).size(), 2u);
+    other.stream.reset();
+    rig.run(300);
+    EXPECT_TRUE(third.of(Type::release).empty());
+}
+
+// Set-ups that are refused fill the output of a viewer that does not read, while another of the same
+// connection is being sent: it ends with its connection, and the director goes on.
+TEST(Relay, AViewerThatReadsNothingIsDroppedOutsideOfTheModulesTurn) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    v.stream->pause();
+    std::uint64_t id = 1;
+    for (int k = 0; k < 40; ++k) {
+        for (int n = 0; n < 100; ++n) v.say(setup_line(id++, "no such class", 2000));
+        v.say(setup_line(id++, "paid", 2000));
+        rig.run(20);
+    }
+    rig.run(3000);
+    EXPECT_EQ(rig.director->engine().owed(), 0u);
+    Viewer& next = rig.viewer();
+    next.say(setup_line(id, "paid", 2000));
+    rig.run(500);
+    EXPECT_EQ(next.of(Type::answer).size(), 1u);
+}
+
+// A name server that answers late by more than the queries of two seconds is heard; a silent one is asked
+// less.
+TEST(Relay, ANameServerThatAnswersLateIsHeardAndASilentOneIsAskedLess) {
+    Rig rig(2);
+    rig.names->delay = 5000;
+    rig.names->nodes.pop_back();
+    rig.names->serial += 1;
+    rig.run(4000);
+    EXPECT_EQ(rig.director->status()["list"]["taken"].get<int>(), 0);
+    rig.run(1500);
+    EXPECT_EQ(rig.director->status()["list"]["taken"].get<int>(), 1) << "5 s late, and heard";
+    rig.run(10000);
+    EXPECT_EQ(rig.director->status()["list"]["bad"].get<int>(), 0);
+    rig.names->delay = 0;
+    rig.run(6000);
+    const auto asked_in = [&](double ms) {
+        const int before = rig.names->asked;
+        rig.run(ms);
+        return rig.names->asked - before;
+    };
+    const int usual = asked_in(4000);
+    rig.names->delay = -1;
+    rig.run(8000);
+    EXPECT_LE(asked_in(4000), usual / 2);
+    EXPECT_GE(asked_in(4000), 4);
+    rig.names->delay = 0;
+    rig.run(1500);
+    EXPECT_GE(asked_in(4000), usual - 1);
+}
+
+// A process with deadlines of 5 s is killed 3.7 s after it was told to end: what it took is answered before.
+TEST(Relay, AtTheEndWhatMayWaitLongerIsAnsweredBeforeTheKill) {
+    Rig rig;
+    rig.nodes[0]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+    };
+    Viewer &v = rig.viewer(), &late = rig.viewer();
+    v.say(setup_line(1, "paid", 5000));
+    rig.run(100);
+    bool done = false;
+    rig.director->stop([&] { done = true; });
+    rig.run(500);
+    late.say(setup_line(2, "paid", 5000));
+    rig.run(2900);
+    EXPECT_TRUE(v.heard.empty()) << "its node still has time";
+    rig.run(290);
+    for (const Viewer* one : {&v, &late}) {
+        ASSERT_EQ(one->heard.size(), 1u);
+        EXPECT_EQ(one->heard[0].type, Type::release);
+        EXPECT_NE(one->heard[0].cause, 34) << "it may have run";
+    }
+    EXPECT_EQ(rig.nodes[0]->of(Type::release).size(), 2u) << "given up at its node too";
+    EXPECT_TRUE(done);
+}
+
 // A second attempt that is answered at once must not count the first one's wait as its own.
 TEST(Relay, AttemptsWaitFromTheirOwnSending) {
     Rig rig(2);
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -155,13 +155,16 @@
     std::vector<Listed> nodes;
     int asked = 0;
     std::function<std::string(std::string)> spoil;  // of an answer's bytes
+    double delay = 0;                               // of its answers; less than 0: none comes
+    std::list<io::Timer> late;
     NameServer(io::Loop& loop, const io::Address& at, std::uint32_t n, std::vector<Listed> list)
         : serial(n), nodes(std::move(list)) {
-        socket = loop.datagram(at, [this](const io::Address& from, std::string_view query) {
+        socket = loop.datagram(at, [this, &loop](const io::Address& from, std::string_view query) {
             asked += 1;
             std::string answer = dns_answer(query, serial, nodes);
             if (spoil) answer = spoil(answer);
-            if (!answer.empty()) socket->send(from, answer);
+            if (answer.empty() || delay < 0) return;
+            late.push_back(loop.after(delay, [this, from, answer] { socket->send(from, answer); }));
         });
     }
 };
