--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -33,6 +33,7 @@
     std::set<SessionId> standing;  // sessions that were set up on it and stand
     bool carried = false;          // a set-up that could be used has come on it
     bool ending = false;           // only drained and closed from here on
+    bool distrusted = false;       // takes no set-up any more; closed when those open on it are answered
     bool unread = false;           // its viewer does not read what it is sent
     struct Told {
         io::Time when;
@@ -73,18 +74,21 @@
         owner.standing_[session] = c;
         c->standing.insert(session);
         owner.send(*c, m);
+        owner.close_if_done(*c);
     }
     void refused(Time retry_after) override {
         Connection* c = connection;
         const std::string text = id;
         owner.answered(session);
         owner.release(*c, text, kRefused, retry_after);
+        owner.close_if_done(*c);
     }
     void failed() override {
         Connection* c = connection;
         const std::string text = id;
         owner.answered(session);
         owner.release(*c, text, kFailed);
+        owner.close_if_done(*c);
     }
 };
 
@@ -193,6 +197,10 @@
     sweep_ = loop_.after(kSweep, [this] { sweep(); });
 }
 
+void RelayFront::close_if_done(Connection& c) {
+    if (!c.gone && c.distrusted && c.open.empty()) close(c);
+}
+
 void RelayFront::end_all() {
     for (const auto& c : connections_)
         if (!c->ending) c->ending = true, c->ended = loop_.now(), c->stream->end();
@@ -324,18 +332,22 @@
 
 void RelayFront::take_set_up(Connection& c, const ViewerMessage& m) {
     counts_.set_ups += 1;
+    if (c.distrusted) return release(c, m.id, kUnusable);
     if (const auto it = requests_.find(m.session); it != requests_.end()) {
         // Two requests under one number. On one connection an answer to either would be taken for both:
-        // neither is served. What else is open on it belongs to others and goes on. From another connection
-        // the second alone is turned away there.
+        // neither is served, and nothing more is taken on it, since such a client may go on so by the
+        // hundred. What else is open on it is answered before it is closed. From another connection the
+        // second alone is turned away there.
         counts_.repeated += 1;
         if (it->second->connection == &c) {
             const std::string first = it->second->id;
+            c.distrusted = true;
             engine_.leave(m.session, it->second.get());
             answered(m.session);
             release(c, first, kUnusable);
         }
-        return release(c, m.id, kUnusable);
+        release(c, m.id, kUnusable);
+        return close_if_done(c);
     }
     core::Ask ask;
     std::string at;
@@ -396,7 +408,7 @@
         Request* request = it->second.get();
         engine_.leave(m.session, request);
         answered(m.session);
-        return;
+        return close_if_done(c);
     }
     ViewerMessage heard;
     heard.type = Type::released, heard.id = m.id;
--- a/src/fronts/relay/front.hpp
+++ b/src/fronts/relay/front.hpp
@@ -85,6 +85,7 @@
     void leave_all(Connection& c);
     void finish(Connection& c);
     void close(Connection& c);
+    void close_if_done(Connection& c);
     void drop(Connection& c);
     bool make_room();
     void sweep();
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -866,6 +866,10 @@
         const auto it = sessions_.find(e.id);
         if (it == sessions_.end()) return;
         held_.erase(e.id);
+        // Taken back, it is no request that earns further attempts: one client that takes back hundreds at
+        // once would pay for those of everybody.
+        const auto counted = std::lower_bound(requests_.begin(), requests_.end(), it->second.taken);
+        if (counted != requests_.end() && *counted == it->second.taken) requests_.erase(counted);
         if (it->second.state == Session::State::held) sessions_.erase(it);
         else it->second.answered = true;  // its attempt still holds a stream and a seat
     }
--- a/tests/relay/process_test.cpp
+++ b/tests/relay/process_test.cpp
@@ -273,7 +273,8 @@
     stage.go_on();
 }
 
-// Two requests under one number end each other; the others on that connection go on.
+// Two requests under one number end each other; what else is open on that connection is answered, and nothing
+// more is taken on it: a client that goes on so by the hundred begins nothing.
 TEST(RelayProcessCrossings, ARepeatedNumberTakesNoOtherRequestDown) {
     Stage stage;
     stage.start();
@@ -282,17 +283,23 @@
     viewer.say(setup_line(2, "paid"));
     Wire one = stage.accept(), two = stage.accept();
     if (stage.frame(one, Type::setup).session != 1) std::swap(one, two);
-    viewer.say(setup_line(1, "paid", 3000));
-    for (int k = 0; k < 2; ++k) {
+    for (int k = 0; k < 50; ++k) viewer.say(setup_line(1, "paid", 3000));
+    viewer.say(setup_line(3, "paid", 3000));
+    for (int k = 0; k < 52; ++k) {
         const ViewerMessage m = stage.line(viewer);
-        EXPECT_EQ(m.session, 1u);
-        EXPECT_TRUE(failed(m)) << "each of the two is told, and neither is served";
+        EXPECT_EQ(m.session, k < 51 ? 1u : 3u);
+        EXPECT_TRUE(failed(m)) << "each of them is told, and none is served";
     }
     EXPECT_EQ(stage.frame(one, Type::release).session, 1u) << "its node is told";
     two.send(Type::answer, 2, -1, {{63, "it plays"}});
     const ViewerMessage other = stage.line(viewer);
     EXPECT_EQ(other.session, 2u);
     EXPECT_EQ(other.type, Type::answer);
+    EXPECT_EQ(stage.end_of(viewer), Wire::End::clean);
+    stage.stop();
+    pollfd waits{stage.node_fd(0), POLLIN, 0};
+    EXPECT_EQ(::poll(&waits, 1, 0), 0) << "no other set-up was begun";
+    stage.go_on();
 }
 
 // A session ends when no connection of its viewer is there: it is told on the next one.
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -76,6 +76,30 @@
     EXPECT_NE(w.sessions.at(id).server, first);
 }
 
+// A client takes back a hundred set-ups at once: they earn no further attempts for those that come then.
+TEST(Answers, WhatIsTakenBackEarnsNoFurtherAttempts) {
+    Settings set = small_site();
+    set.budget = BudgetSettings{0.3, 2, 10000};
+    Watch w = warm(set);
+    for (int k = 0; k < 100; ++k) {
+        const SessionId id = w.ask(1);
+        w.sessions.at(id).answered = true;  // nothing is owed any more
+        w.feed(SessionAbandoned{id});
+        if (w.sent(id)) w.over(id, Outcome::cancelled, true);
+    }
+    w.pass(3000);
+    int further = 0;
+    for (int k = 0; k < 10; ++k) {
+        const SessionId id = w.ask(1);
+        while (w.sent(id)) {
+            further += w.sessions.at(id).sends > 1;
+            w.over(id, Outcome::error, false);
+        }
+    }
+    EXPECT_GT(further, 0);
+    EXPECT_LE(further, 2 + 0.3 * 10);
+}
+
 TEST(Answers, AbandonedAttemptStillCountsUntilItsOutcome) {
     Settings set = small_site();
     set.classes[0].seats = 1;
