--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -454,8 +454,7 @@
         playing_ -= 1;
         counts_.reset += outcome == Outcome::reset;
         const bool told = s.record.answer == Answer::plays;
-        const bool owed =
-            decide::owes_release({outcome, told, s.hung_up, s.moving, loop_.now() - s.record.answered_at});
+        const bool owed = decide::owes_release({outcome, told, s.hung_up, s.moving});
         if (on_gone) on_gone(id, owed, false);
     }
     if (s.record.answered)
--- a/src/decide/endings.hpp
+++ b/src/decide/endings.hpp
@@ -1,18 +1,18 @@
-// Whose viewer is told that a session is over, when one that stood has ended. No I/O, no clock.
+// Who is told when something ends, and what may have crossed it. No I/O, no clock.
 #pragma once
 
 #include "ivyfield/director.hpp"
 
 namespace ivyfield::decide {
 
+// A session that stood has ended.
 struct Ended {
     Outcome outcome = Outcome::ended;
     bool told = false;     // its viewer has been told that it stands
     bool hung_up = false;  // its viewer has ended it here
     bool moved = false;    // its viewer has been told to come again
-    Time stood = 0;        // how long since its answer was passed on
 };
-
+// Whether its viewer is told that it is over.
 bool owes_release(const Ended& ended);
 
 // Whether the other side may have sent a message, or closed, before it had what we sent it so long ago.
