--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -146,7 +146,9 @@
         if (const auto it = standing_.find(id); it != standing_.end()) it->second = nullptr;
     const auto it = std::find_if(connections_.begin(), connections_.end(),
                                  [&](const auto& one) { return one.get() == &c; });
-    c.stream->set_handler(nullptr);
+    // Its descriptor is free at once: in a burst of connections those that give way are not to hold theirs
+    // until the end of the turn.
+    c.stream.reset();
     const auto told = std::move(c.told);
     dead_.push_back(std::move(*it));
     connections_.erase(it);
