A connection dropped for unread output is looked for when its turn comes

Seen on reading the change again: the task held a reference, and a clear posted earlier by another connection's drop could free it first. src/fronts/relay/front.cpp, send(). The crossing is not forced by a test; the relay's 156 pass.

--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -222,10 +222,13 @@
     // Not within this call: it may be the module's refusal of one set-up, with the sending of another of the
     // same connection still to be carried out.
     c.unread = true;
-    loop_.post([this, &c] {
-        if (c.gone) return;
-        leave_all(c);
-        drop(c);
+    // It may be dropped and buried before: it is looked for, not kept.
+    loop_.post([this, at = &c] {
+        for (const auto& one : connections_) {
+            if (one.get() != at || !one->unread) continue;
+            leave_all(*at);
+            return drop(*at);
+        }
     });
 }
 void RelayFront::release(Connection& c, const std::string& id, int cause, Time wait) {
