--- /dev/null
+++ b/tests/relay/settings_test.cpp
@@ -0,0 +1,198 @@
+// Classes, names, tenants, limits and costs come from the settings alone: two directors whose settings are
+// the same but for the order and the names decide the same, and no name of a deployment stands in the
+// program.
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+#include "tests/relay/rig.hpp"
+
+namespace ivyfield::relaytest {
+namespace {
+
+struct Named {
+    std::string name, effect;
+    double aim, patience, worth;
+    int floor, top, seats;
+    bool live;
+    double part;
+};
+struct Org {
+    std::string name;
+    double quota, share;
+};
+
+std::string settings_text(const std::vector<Named>& classes, const std::vector<Org>& orgs) {
+    const auto each = [](const auto& all, const auto& one) {
+        std::string text;
+        for (const auto& item : all) text += (text.empty() ? "" : ",") + one(item);
+        return text;
+    };
+    std::string text = config_text({{"s-0", {"127.0.0.1", 9001}}}, "127.0.0.1:5300", 256, 8000);
+    const auto put = [&](const std::string& key, const std::string& value) {
+        const std::size_t at = text.find("\"" + key + "\":[");
+        ASSERT_NE(at, std::string::npos) << key;
+        const std::size_t from = at + key.size() + 4;
+        int depth = 1;
+        std::size_t to = from;
+        for (; depth > 0; ++to) depth += text[to] == '[' ? 1 : text[to] == ']' ? -1 : 0;
+        text.replace(from, to - 1 - from, value);
+    };
+    const auto number = [](double value) { return nlohmann::json(value).dump(); };
+    put("classes", each(classes, [&](const Named& c) {
+            return R"({"name":")" + c.name + R"(","effect":")" + c.effect + R"(","objective_ms":)" +
+                   number(c.aim) + R"(,"give_up_ms":)" + number(c.patience) + R"(,"importance":)" +
+                   number(c.worth) + "}";
+        }));
+    put("orgs", each(orgs, [&](const Org& o) {
+            return R"({"name":")" + o.name + R"(","quota_rps":)" + number(o.quota) + R"(,"share":)" +
+                   number(o.share) + "}";
+        }));
+    put("class_floor", each(classes, [](const Named& c) { return std::to_string(c.floor); }));
+    put("class_live", each(classes, [](const Named& c) { return std::string(c.live ? "true" : "false"); }));
+    put("rate_factor", each(classes, [&](const Named& c) { return number(c.part); }));
+    put("top_by_class", each(classes, [](const Named& c) { return std::to_string(c.top); }));
+    put("licence_cap", each(classes, [](const Named& c) { return std::to_string(c.seats); }));
+    return text;
+}
+
+// All that a director answers to a random course of events. Classes and tenants are numbered by `cls` and
+// `org`.
+std::string decisions(const config::RelayConfig& config, const std::vector<int>& cls,
+                      const std::vector<int>& org, unsigned seed) {
+    std::string out;
+    std::mt19937 random(seed);
+    Director director(config.settings, 99);
+    std::multimap<Time, std::uint64_t> alarms;
+    std::map<SessionId, std::pair<Send, int>> open;
+    std::map<SessionId, int> attempts;
+    Time now = 1000;
+    const auto feed = [&](const Event& event) {
+        std::vector<Action> actions;
+        director.handle(now, event, actions);
+        out += "|" + std::to_string(event.index());
+        for (const Action& a : actions) {
+            out += " " + std::to_string(a.index());
+            if (const auto* x = std::get_if<Send>(&a)) {
+                out += ":" + std::to_string(x->id) + ">" + std::to_string(x->server) + "@" +
+                       std::to_string(x->expires);
+                open[x->id] = {*x, attempts[x->id]++};
+            }
+            if (const auto* x = std::get_if<Refuse>(&a))
+                out += ":" + std::to_string(x->id) + "w" + std::to_string(x->retry_after);
+            if (const auto* x = std::get_if<Fail>(&a)) out += ":" + std::to_string(x->id);
+            if (const auto* x = std::get_if<SetRung>(&a))
+                out += ":" + std::to_string(x->id) + "r" + std::to_string(x->rung);
+            if (const auto* x = std::get_if<SetAlarm>(&a)) alarms.emplace(x->at, x->mark);
+        }
+    };
+    ServerList list;
+    for (ServerId id = 1; id <= 6; ++id) {
+        ServerEntry e;
+        e.id = id, e.position = static_cast<int>(id), e.weight = 1, e.state = ServerState::ready;
+        e.last_start = id == 6 ? 900 : 0;
+        list.entries.push_back(e);
+    }
+    feed(list);
+    for (SessionId id = 1; id <= 400; ++id) {
+        now += static_cast<double>(random() % 60);
+        while (!alarms.empty() && alarms.begin()->first <= now) {
+            const auto mark = alarms.begin()->second;
+            alarms.erase(alarms.begin());
+            feed(AlarmDue{mark});
+        }
+        SessionRequest q;
+        q.id = id;
+        const std::size_t which = random() % cls.size();
+        q.cls = cls[which];
+        q.tenant = org[random() % org.size()];
+        q.viewer = random() % 100;
+        q.title = 1 + random() % 8;
+        q.deadline = now + config.settings.classes[static_cast<std::size_t>(q.cls)].patience;
+        q.cell_count = 12, q.top_rung = 1;
+        feed(q);
+        if (open.empty()) continue;
+        auto it = open.begin();
+        std::advance(it, static_cast<std::ptrdiff_t>(random() % open.size()));
+        const auto [send, attempt] = it->second;
+        const auto fate = random() % 8;
+        if (fate == 0) {
+            open.erase(it);
+            feed(AttemptOver{send.id, attempt, send.server, Outcome::full, 5, false, {}});
+        } else if (fate == 1) {
+            open.erase(it);
+            feed(AttemptOver{send.id, attempt, send.server, Outcome::reset, 5, false, {}});
+        } else if (fate < 5) {
+            open.erase(it);
+            feed(SessionStarted{send.id, attempt, send.server, 40});
+            feed(AttemptOver{send.id, attempt, send.server, Outcome::ended, 900, true, {}});
+        }
+    }
+    return out;
+}
+
+TEST(RelaySettings, OtherNamesAndAnotherOrderDecideTheSame) {
+    const std::vector<Named> classes = {{"gold one", "side_effect", 1500, 5000, 3, 1, 1, 3, false, 1},
+                                        {"silver", "pure", 800, 4000, 1, 0, 1, 0, true, 1},
+                                        {"tin, or so", "pure", 400, 1200, 0.5, 0, 0, 0, false, 0.7}};
+    const std::vector<Org> orgs = {{"first customer", 20, 0.5}, {"second", 6, 0.3}, {"third", 2, 0.2}};
+    std::vector<Named> other = {classes[2], classes[0], classes[1]};
+    other[0].name = "a", other[1].name = "silver", other[2].name = "gold one";  // names change places too
+    std::vector<Org> others = {orgs[1], orgs[2], orgs[0]};
+    others[0].name = "first customer", others[1].name = "x y", others[2].name = "second";
+    const auto one = config::read_relay_config(settings_text(classes, orgs));
+    const auto two = config::read_relay_config(settings_text(other, others));
+    ASSERT_EQ(one.settings.classes.size(), 3u);
+    ASSERT_EQ(two.settings.classes[1].seats, 3);
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        const std::string a = decisions(one, {0, 1, 2}, {0, 1, 2}, seed);
+        ASSERT_GT(std::count(a.begin(), a.end(), '>'), 50) << "nothing is decided";
+        EXPECT_EQ(a, decisions(two, {1, 2, 0}, {2, 0, 1}, seed)) << "seed " << seed;
+        // And what is permuted does decide: with the classes changed about it is another course.
+        EXPECT_NE(a, decisions(two, {0, 1, 2}, {2, 0, 1}, seed)) << "seed " << seed;
+    }
+}
+
+TEST(RelaySettings, NoNameOfADeploymentStandsInTheProgram) {
+    namespace fs = std::filesystem;
+    const fs::path root = IVYFIELD_SOURCE_DIR;
+    const auto read = [](const fs::path& path) {
+        std::ifstream in(path, std::ios::binary);
+        return std::string(std::istreambuf_iterator<char>(in), {});
+    };
+    // Our own variants, and beside a checkout whatever deployments the users gave.
+    std::vector<fs::path> sites;
+    for (const fs::path& folder : {root / "deploy/sites", root / "../given/kit"}) {
+        if (!fs::exists(folder)) continue;
+        for (const auto& one : fs::recursive_directory_iterator(folder))
+            if (one.path().extension() == ".toml") sites.push_back(one.path());
+    }
+    ASSERT_GE(sites.size(), 2u);
+    std::set<std::string> names;
+    for (const fs::path& site : sites) {
+        const std::string text = read(site);
+        for (std::size_t at = 0; (at = text.find('"', at)) != std::string::npos;) {
+            const std::size_t end = std::min(text.find('"', at + 1), text.size());
+            const std::string name = text.substr(at + 1, end - at - 1);
+            if (name.find('-') != std::string::npos && name.find_first_of(" .\n") == std::string::npos)
+                names.insert(name);
+            at = end + 1;
+        }
+    }
+    ASSERT_GE(names.size(), 8u);
+    int files = 0;
+    const auto look = [&](const fs::path& path) {
+        files += 1;
+        const std::string text = read(path);
+        for (const std::string& name : names)
+            EXPECT_EQ(text.find("\"" + name + "\""), std::string::npos) << path << " names " << name;
+    };
+    for (const fs::path& folder : {root / "src", root / "include"})
+        for (const auto& one : fs::recursive_directory_iterator(folder))
+            if (one.is_regular_file()) look(one.path());
+    look(root / "deploy/balancer.toml");
+    EXPECT_GT(files, 50);
+}
+
+}  // namespace
+}  // namespace ivyfield::relaytest
