--- a/src/io/ev/child.cpp
+++ b/src/io/ev/child.cpp
@@ -54,6 +54,9 @@
 void Child::stall(bool on) {
     if (running()) ::kill(pid_, on ? SIGSTOP : SIGCONT);
 }
+void Child::signal(int number) {
+    if (running()) ::kill(pid_, number);
+}
 
 double Child::cpu_ms() const {
     std::ifstream in("/proc/" + std::to_string(pid_) + "/stat");
--- a/src/io/ev/child.hpp
+++ b/src/io/ev/child.hpp
@@ -17,6 +17,7 @@
     int exit_code() const { return code_; }  // of one that ended; a signal counts as 128 and its number
     void kill();
     void stall(bool on);
+    void signal(int number);
     double cpu_ms() const;     // user and system, so far
     double memory_kb() const;  // resident
 
--- /dev/null
+++ b/tests/soak/client.hpp
@@ -0,0 +1,222 @@
+// The clients of one director: they hold connections open, send set-ups on them at random moments until the
+// process is gone, give some up, and send again, once, what crossed a close.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <random>
+
+#include "relay/message.hpp"
+#include "tests/relay/rig.hpp"
+#include "tests/soak/director.hpp"
+#include "tests/soak/ledger.hpp"
+
+namespace ivyfield::soak {
+
+using relay::ViewerMessage;
+
+struct ClientSettings {
+    int connections = 6;
+    Time least_gap = 2, most_gap = 30;           // between two set-ups of one connection
+    Time least_patience = 300, most_patience = 2500;
+    double paid = 0.5, cancels = 0.05, hangs_up = 0.2;
+};
+
+class ClientPool {
+  public:
+    ClientPool(io::Loop& loop, DirectorProcess& director, std::uint64_t seed, Ledger& ledger,
+               const ClientSettings& settings, std::function<Time()> lateness)
+        : loop_(loop),
+          director_(director),
+          random_(seed),
+          ledger_(ledger),
+          settings_(settings),
+          lateness_(std::move(lateness)) {}
+
+    // The front takes the director in: connections are opened, and opened anew where one closes.
+    void begin() {
+        taking_ = true;
+        sending_ = true;
+        fill();
+    }
+    // No new connections from now on; those that are open are used until they end.
+    void no_new_connections() { taking_ = false; }
+    void no_new_requests() { sending_ = false; }
+    // The process is gone: what it left unanswered has been judged by the close of each connection.
+    void forget_connections() {
+        taking_ = sending_ = false;
+        links_.remove_if([](const auto& link) { return !link->stream; });
+    }
+    std::size_t open_connections() const {
+        std::size_t n = 0;
+        for (const auto& link : links_) n += link->stream != nullptr;
+        return n;
+    }
+
+  private:
+    struct Link : io::StreamHandler {
+        ClientPool& owner;
+        std::unique_ptr<io::Stream> stream;
+        relay::LineDecoder decoder;
+        std::set<RequestId> pending;
+        std::string first_line;  // of a request sent again, to be written when the connection is there
+        bool up = false;
+        io::Timer next;
+        explicit Link(ClientPool& o) : owner(o) {}
+        void on_open() override { owner.opened(*this); }
+        void on_data(std::string_view bytes) override {
+            while (!bytes.empty()) {
+                const auto line = decoder.next(bytes);
+                if (line) owner.heard(*this, *line);
+                else if (decoder.too_long()) return owner.ledger_.fault("a line without end");
+            }
+        }
+        void on_end() override {
+            if (stream) stream->end();
+            owner.closed(*this);
+        }
+        void on_closed(io::Closing) override { owner.closed(*this); }
+    };
+
+    double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+    Time between(Time least, Time most) { return std::uniform_real_distribution<Time>(least, most)(random_); }
+
+    void fill() {
+        while (taking_ && open_connections() < static_cast<std::size_t>(settings_.connections)) dial("");
+    }
+    Link& dial(const std::string& first_line) {
+        links_.remove_if([](const auto& link) { return !link->stream; });
+        links_.push_back(std::make_shared<Link>(*this));
+        Link& link = *links_.back();
+        link.first_line = first_line;
+        link.stream = loop_.dial(director_.address(), kDialTimeout, &link);
+        return link;
+    }
+    void opened(Link& link) {
+        link.up = true;
+        if (!link.first_line.empty()) link.stream->write(link.first_line);
+        schedule(link);
+    }
+    void schedule(Link& link) {
+        link.next = loop_.after(between(settings_.least_gap, settings_.most_gap), [this, &link] {
+            if (!link.stream || !sending_) return;
+            send_set_up(link);
+            schedule(link);
+        });
+    }
+    std::string line_of(const Request& request) const {
+        const Time left = std::max<Time>(1, request.sent + request.patience - loop_.now());
+        return relaytest::setup_line(request.id, request.cls == RequestClass::paid ? "paid" : "free one",
+                                     static_cast<int>(left)) +
+               "\n";
+    }
+    void send_set_up(Link& link) {
+        Request request;
+        request.id = random_();
+        request.cls = chance() < settings_.paid ? RequestClass::paid : RequestClass::repeatable;
+        request.director = director_.index();
+        request.incarnation = director_.incarnation();
+        request.sent = loop_.now();
+        request.patience = between(settings_.least_patience, settings_.most_patience);
+        ledger_.add(request);
+        link.pending.insert(request.id);
+        link.stream->write(line_of(request));
+        if (chance() >= settings_.cancels) return;
+        keep(loop_.after(between(1, 60), [this, id = request.id] { cancel(id); }));
+    }
+    // Gives the set-up up, on its own connection.
+    void cancel(RequestId id) {
+        Request* request = ledger_.find(id);
+        if (!request || request->reply != Reply::none) return;
+        for (const auto& link : links_) {
+            if (!link->stream || !link->pending.erase(id)) continue;
+            request->cancelled = loop_.now();
+            link->stream->write(relaytest::release_line(id, relay::kCauseGivenUp) + "\n");
+            return;
+        }
+    }
+    // Ends an established session, on any connection.
+    void hang_up(RequestId id) {
+        Request* request = ledger_.find(id);
+        if (!request || request->notified) return;
+        for (const auto& link : links_) {
+            if (!link->stream || !link->up) continue;
+            request->hung_up = true;
+            link->stream->write(relaytest::release_line(id, relay::kCauseGivenUp) + "\n");
+            return;
+        }
+    }
+
+    void heard(Link& link, const std::string& text) {
+        const auto read = relay::read_line(text);
+        const auto* message = std::get_if<ViewerMessage>(&read);
+        if (!message) return ledger_.fault("a client received what can't be read: " + text);
+        Request* request = ledger_.find(message->session);
+        if (message->type == relay::Type::released || message->type == relay::Type::pong) return;
+        if (!request) return ledger_.fault("a client received a word on what it never asked: " + text);
+        const bool open = request->reply == Reply::none;
+        if (message->type == relay::Type::answer) {
+            link.pending.erase(message->session);
+            const std::string wanted = "answer to offer " + relay::hex(message->session);
+            if (message->sdp.value_or("") != wanted) ledger_.lost(*request, "answered wrongly", loop_.now());
+            ledger_.replied(message->session, Reply::established, loop_.now());
+            if (chance() < settings_.hangs_up)
+                keep(loop_.after(between(20, 600), [this, id = message->session] { hang_up(id); }));
+            return;
+        }
+        if (message->type == relay::Type::release && open) {
+            link.pending.erase(message->session);
+            const bool rejected = message->cause == 34 || message->cause == 42 || message->cause == 102;
+            return ledger_.replied(message->session, rejected ? Reply::rejected : Reply::failed, loop_.now());
+        }
+        request->notified = loop_.now();
+    }
+
+    // The connection is over; what is pending on it crossed the close, or is lost.
+    void closed(Link& link) {
+        if (!link.stream) return;
+        link.next.stop();
+        link.stream->set_handler(nullptr);
+        loop_.post([keep = std::shared_ptr<io::Stream>(std::move(link.stream))] {});
+        const auto pending = std::move(link.pending);
+        link.pending.clear();
+        for (const RequestId id : pending) judge_close(id);
+        loop_.post([this] { fill(); });
+    }
+    void judge_close(RequestId id) {
+        Request& request = *ledger_.find(id);
+        if (request.cancelled || request.reply != Reply::none) return;
+        if (director_.killed() && request.incarnation == director_.incarnation()) {
+            request.excused = true;
+            return;
+        }
+        const Time ago = loop_.now() - request.sent;
+        if (request.resent) return ledger_.lost(request, "sent again and closed again", loop_.now());
+        if (ago > kCloseCrossing + lateness_())
+            return ledger_.lost(request, "its connection closed unanswered after " + std::to_string(ago) + " ms",
+                                loop_.now());
+        request.resent = true;
+        request.sent = loop_.now();
+        dial(line_of(request)).pending.insert(id);
+    }
+
+    void keep(io::Timer timer) {
+        timers_.push_back(std::move(timer));
+        if (timers_.size() > kTimersKept) timers_.pop_front();
+    }
+
+    static constexpr Time kDialTimeout = 1000;
+    static constexpr std::size_t kTimersKept = 8192;  // longer than any of them runs
+
+    io::Loop& loop_;
+    DirectorProcess& director_;
+    std::mt19937_64 random_;
+    Ledger& ledger_;
+    const ClientSettings settings_;
+    std::function<Time()> lateness_;
+    std::list<std::shared_ptr<Link>> links_;
+    std::list<io::Timer> timers_;
+    bool taking_ = false, sending_ = false;
+};
+
+}  // namespace ivyfield::soak
--- /dev/null
+++ b/tests/soak/ledger.hpp
@@ -0,0 +1,162 @@
+// What clients asked and heard, what media nodes received, and the verdict on it: the judge of a soak. It knows
+// the platform's protocol and nothing of the director's code. Times are milliseconds on the harness's clock.
+#pragma once
+
+#include <cstdint>
+#include <iomanip>
+#include <map>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace ivyfield::soak {
+
+using Time = double;  // ms
+using RequestId = std::uint64_t;
+
+// Figures of the platform's protocol.
+constexpr Time kSlack = 50;           // on every time limit
+constexpr Time kCloseCrossing = 50;   // a request that crosses a close within this is sent again, once
+constexpr Time kLateAnswer = 500;     // after its time an answer earns nothing; later it is lost
+constexpr Time kForwardedLate = 100;  // nothing is forwarded so long after the request's end
+constexpr Time kNotifyBound = 1000;   // a terminated session is notified within this
+
+enum class RequestClass { paid, repeatable };
+enum class Reply { none, established, rejected, failed };
+
+// One request of a client, over both of its sendings where it is sent again.
+struct Request {
+    RequestId id = 0;
+    RequestClass cls = RequestClass::paid;
+    int director = 0;
+    int incarnation = 0;
+    Time sent = 0;
+    Time patience = 0;
+    bool resent = false;
+    bool excused = false;  // its director was killed outright, or the client closed first
+    std::optional<Time> cancelled;
+    Reply reply = Reply::none;
+    Time replied = 0;
+    int replies = 0;
+    bool hung_up = false;
+    std::optional<Time> terminated;  // a media node ended the session, and its client is owed the word
+    std::optional<Time> notified;
+    std::optional<Time> over;  // when the process that took it ended
+};
+
+enum class AttemptEnd { open, answered, proved_unrun, unknown };
+
+// One set-up as a media node received it.
+struct Attempt {
+    std::string node;
+    Time received = 0;
+    AttemptEnd end = AttemptEnd::open;
+    Time ended = 0;
+};
+
+class Ledger {
+  public:
+    Request& add(Request request) { return requests_[request.id] = request; }
+    Request* find(RequestId id) {
+        const auto it = requests_.find(id);
+        return it == requests_.end() ? nullptr : &it->second;
+    }
+    void fault(const std::string& what) { faults_.push_back(what); }
+    void lost(const Request& request, const std::string& why, Time now) {
+        if (request.excused || !reported_.insert(request.id).second) return;
+        std::ostringstream text;
+        text << std::fixed << std::setprecision(1);
+        text << "lost: request " << std::hex << request.id << std::dec << " of director " << request.director
+             << " (incarnation " << request.incarnation << "), sent at " << request.sent << ", " << why << " at "
+             << now;
+        faults_.push_back(text.str());
+    }
+
+    void replied(RequestId id, Reply reply, Time now) {
+        Request* request = find(id);
+        if (!request) return fault("a reply to a request that was never sent: " + std::to_string(id));
+        request->replies += 1;
+        if (request->replies > 1) return lost(*request, "answered twice", now);
+        request->reply = reply;
+        request->replied = now;
+        if (now > request->sent + request->patience + kSlack + kLateAnswer && !request->cancelled)
+            lost(*request, "answered long after its time", now);
+    }
+
+    // `earliest`: when it may have been sent; a node that hung reads late what came meanwhile.
+    Attempt& received(RequestId id, const std::string& node, Time now, Time earliest) {
+        Request* request = find(id);
+        auto& attempts = attempts_[id];
+        if (!request) {
+            fault("node " + node + " received a set-up that no client sent: " + std::to_string(id));
+        } else {
+            judge_forward(*request, attempts, earliest);
+        }
+        attempts.push_back({node, now, AttemptEnd::open, 0});
+        return attempts.back();
+    }
+    void attempt_ended(RequestId id, const std::string& node, AttemptEnd end, Time now) {
+        auto& attempts = attempts_[id];
+        for (auto it = attempts.rbegin(); it != attempts.rend(); ++it) {
+            if (it->node != node || it->end != AttemptEnd::open) continue;
+            it->end = end;
+            it->ended = now;
+            return;
+        }
+    }
+
+    // The process of that incarnation has ended, and with it what it knew of its sessions.
+    void incarnation_over(int director, int incarnation, Time now) {
+        for (auto& [id, request] : requests_) {
+            if (request.director != director || request.incarnation != incarnation) continue;
+            if (!request.over) request.over = now;
+        }
+    }
+
+    // What is still open when nothing more can come.
+    void close(Time now) {
+        for (const auto& [id, request] : requests_) {
+            if (request.reply == Reply::none && !request.cancelled) lost(request, "never answered", now);
+            if (request.terminated && !request.notified && !request.hung_up &&
+                request.reply == Reply::established &&
+                (!request.over || *request.over > *request.terminated + kNotifyBound))
+                lost(request, "its end was never told", now);
+        }
+    }
+
+    const std::vector<std::string>& faults() const { return faults_; }
+    std::size_t requests() const { return requests_.size(); }
+    std::size_t count(Reply reply) const {
+        std::size_t n = 0;
+        for (const auto& [id, request] : requests_) n += request.reply == reply;
+        return n;
+    }
+    std::size_t resent() const {
+        std::size_t n = 0;
+        for (const auto& [id, request] : requests_) n += request.resent;
+        return n;
+    }
+    std::map<RequestId, Request>& all() { return requests_; }
+
+  private:
+    void judge_forward(const Request& request, const std::vector<Attempt>& attempts, Time now) {
+        if (request.cancelled && now > *request.cancelled + kForwardedLate + kSlack)
+            lost(request, "forwarded after it was cancelled", now);
+        if (request.reply != Reply::none && now > request.replied + kForwardedLate + kSlack)
+            lost(request, "forwarded after its answer", now);
+        if (request.cls != RequestClass::paid || request.resent) return;
+        for (const Attempt& attempt : attempts)
+            if (attempt.end != AttemptEnd::proved_unrun)
+                fault("duplicate: paid request " + std::to_string(request.id) + " set up at " + attempt.node +
+                      " and again");
+    }
+
+    std::map<RequestId, Request> requests_;
+    std::map<RequestId, std::vector<Attempt>> attempts_;
+    std::set<RequestId> reported_;
+    std::vector<std::string> faults_;
+};
+
+}  // namespace ivyfield::soak
--- /dev/null
+++ b/tests/soak/media_node.hpp
@@ -0,0 +1,252 @@
+// An emulator of a media node on the platform's binary protocol: answers, turns away, fails, resets, goes
+// silent, and ends what it plays, as a seeded source of randomness has it.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <random>
+
+#include "io/loop.hpp"
+#include "relay/message.hpp"
+#include "tests/soak/ledger.hpp"
+
+namespace ivyfield::soak {
+
+using relay::NodeMessage;
+using relay::Type;
+
+// Chances of what a node does with a set-up; the rest is answered.
+struct NodeBehaviour {
+    double full = 0.05, error = 0.03, reset = 0.02, silent = 0.02;
+    double ends_at_once = 0.05;       // answer and end of the session in one write
+    double client_leaves_soon = 0.1;  // ended by its client at the node within milliseconds
+    Time least_answer = 1, most_answer = 40;
+    Time least_life = 30, most_life = 2500;
+};
+
+class MediaNode {
+  public:
+    // Each director reaches it at an address of its own, so that the node knows whose connection one is.
+    MediaNode(io::Loop& loop, std::string name, int directors, std::uint64_t seed, Ledger& ledger)
+        : loop_(loop), name_(std::move(name)), random_(seed), ledger_(ledger) {
+        for (int k = 0; k < directors; ++k)
+            listeners_.push_back(loop.listen(
+                {"127.0.0.1", 0}, [this, k](auto stream) { accepted(std::move(stream), k); }));
+    }
+
+    io::Address address(int director) const { return listeners_.at(director)->address(); }
+    const std::string& name() const { return name_; }
+    std::size_t playing() const { return sessions_.size(); }
+    NodeBehaviour behaviour;
+
+    // Reads nothing and sends nothing for a while, as a process that hangs.
+    void hang(Time duration) {
+        if (!hanging_) hang_began_ = loop_.now();
+        hanging_ = true;
+        for (const auto& link : links_)
+            if (link->stream) link->stream->pause();
+        hang_timer_ = loop_.after(duration, [this] {
+            hanging_ = false;
+            hang_ended_ = loop_.now();
+            for (const auto& link : links_)
+                if (link->stream) link->stream->resume();
+            const auto waiting = std::move(waiting_);
+            waiting_.clear();
+            for (const auto& task : waiting) task();
+        });
+    }
+    // Every connection is reset, as by a middlebox; sessions play on.
+    void reset_connections() {
+        for (const auto& link : links_) link->drop();
+    }
+
+  private:
+    struct Link : io::StreamHandler {
+        MediaNode& owner;
+        const int director;
+        std::unique_ptr<io::Stream> stream;
+        relay::FrameDecoder decoder;
+        std::set<RequestId> open;
+        Link(MediaNode& o, int d) : owner(o), director(d) {}
+        void on_data(std::string_view bytes) override {
+            while (stream && !bytes.empty()) {
+                const auto result = decoder.next(bytes);
+                if (!result) return;
+                const auto* message = std::get_if<NodeMessage>(&*result);
+                if (!message) return owner.ledger_.fault("node " + owner.name_ + " received no message");
+                owner.take(*this, *message);
+            }
+        }
+        void on_end() override {
+            if (stream) stream->end();
+            drop();
+        }
+        void on_closed(io::Closing) override { drop(); }
+        void drop() {
+            if (!stream) return;
+            stream->set_handler(nullptr);
+            owner.loop_.post([keep = std::shared_ptr<io::Stream>(std::move(stream))] {});
+            for (const RequestId id : open)
+                owner.ledger_.attempt_ended(id, owner.name_, AttemptEnd::unknown, owner.loop_.now());
+            open.clear();
+        }
+    };
+    struct Session {
+        std::weak_ptr<Link> link;
+        int director = 0;
+        io::Timer life;
+    };
+
+    double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+    Time between(Time least, Time most) { return std::uniform_real_distribution<Time>(least, most)(random_); }
+
+    struct Untold {
+        RequestId id;
+        int cause;
+        int director;
+    };
+
+    void accepted(std::unique_ptr<io::Stream> stream, int director) {
+        links_.remove_if([](const auto& link) { return !link->stream; });
+        auto link = std::make_shared<Link>(*this, director);
+        link->stream = std::move(stream);
+        link->stream->set_handler(link.get());
+        if (hanging_) link->stream->pause();
+        links_.push_back(link);
+        // An end that could not be told, or was told on a connection that has gone, is told on the next.
+        for (auto it = untold_.begin(); it != untold_.end();) {
+            if (it->director != director) {
+                ++it;
+                continue;
+            }
+            send(*link, Type::release, it->id, it->cause);
+            it = untold_.erase(it);
+        }
+    }
+    void when_awake(std::function<void()> task) {
+        if (hanging_) waiting_.push_back(std::move(task));
+        else task();
+    }
+    void send(Link& link, Type type, RequestId id, int cause = -1, const std::string& description = "") {
+        if (!link.stream) return;
+        NodeMessage message;
+        message.type = type;
+        message.session = id;
+        if (cause >= 0) message.cause = cause;
+        if (!description.empty()) message.parameters[static_cast<int>(relay::Code::sdp)] = description;
+        link.stream->write(relay::write_frame(message));
+    }
+
+    void take(Link& link, const NodeMessage& message) {
+        switch (message.type) {
+            case Type::setup:
+                return take_set_up(link, message);
+            case Type::release:
+                return take_release(link, message.session);
+            case Type::move:
+                sessions_.erase(message.session);
+                return;
+            case Type::ping: {
+                NodeMessage pong;
+                pong.type = Type::pong;
+                pong.session = message.session;
+                pong.cause = relay::kCausePassed;
+                pong.parameters[static_cast<int>(relay::Code::report)] = "inflight:1;x0:0.1;x1:0.1";
+                link.stream->write(relay::write_frame(pong));
+                return;
+            }
+            default:
+                return;
+        }
+    }
+
+    void take_release(Link& link, RequestId id) {
+        if (link.open.erase(id)) ledger_.attempt_ended(id, name_, AttemptEnd::unknown, loop_.now());
+        sessions_.erase(id);
+    }
+
+    void take_set_up(Link& link, const NodeMessage& message) {
+        const RequestId id = message.session;
+        const bool read_late = loop_.now() < hang_ended_ + kCatchUp;
+        ledger_.received(id, name_, loop_.now(), read_late ? hang_began_ : loop_.now());
+        link.open.insert(id);
+        const double drawn = chance();
+        const NodeBehaviour& b = behaviour;
+        std::weak_ptr<Link> weak;
+        for (const auto& one : links_)
+            if (one.get() == &link) weak = one;
+        if (drawn < b.silent) return;
+        const Time when = between(b.least_answer, b.most_answer);
+        const std::string* offer = message.find(relay::Code::sdp);
+        const std::string answer = "answer to " + (offer ? *offer : "nothing");
+        timers_.push_back(loop_.after(when, [this, weak, id, drawn, answer] {
+            when_awake([this, weak, id, drawn, answer] { conclude(weak, id, drawn, answer); });
+        }));
+        if (timers_.size() > kTimersKept) timers_.pop_front();
+    }
+
+    void conclude(const std::weak_ptr<Link>& weak, RequestId id, double drawn, const std::string& answer) {
+        const auto link = weak.lock();
+        if (!link || !link->stream || !link->open.count(id)) return;  // given up
+        const NodeBehaviour& b = behaviour;
+        const double full = b.silent + b.full, error = full + b.error, reset = error + b.reset;
+        if (drawn < full) return turn_away(*link, id, relay::kCauseFull, AttemptEnd::proved_unrun);
+        if (drawn < error) return turn_away(*link, id, relay::kCauseError, AttemptEnd::unknown);
+        if (drawn < reset) return link->drop();
+        link->open.erase(id);
+        ledger_.attempt_ended(id, name_, AttemptEnd::answered, loop_.now());
+        send(*link, Type::answer, id, -1, answer);
+        const double life = chance();
+        auto& session = sessions_[id];
+        session.link = weak;
+        session.director = link->director;
+        if (life < b.ends_at_once) return end(id, relay::kCauseGivenUp);
+        const bool leaves = life < b.ends_at_once + b.client_leaves_soon;
+        session.life = loop_.after(leaves ? between(0, 3) : between(b.least_life, b.most_life), [this, id, leaves] {
+            const int cause = leaves ? relay::kCauseCancelled : relay::kCauseGivenUp;
+            when_awake([this, id, cause] { end(id, cause); });
+        });
+    }
+    void turn_away(Link& link, RequestId id, int cause, AttemptEnd how) {
+        link.open.erase(id);
+        ledger_.attempt_ended(id, name_, how, loop_.now());
+        send(link, Type::release, id, cause);
+    }
+
+    // The session is over; told on the connection of its set-up, otherwise on any, otherwise on the next.
+    void end(RequestId id, int cause) {
+        const auto it = sessions_.find(id);
+        if (it == sessions_.end()) return;
+        auto link = it->second.link.lock();
+        const auto gone = std::move(it->second);
+        sessions_.erase(it);
+        if (Request* request = ledger_.find(id); request && cause != relay::kCauseCancelled)
+            request->terminated = loop_.now();
+        if (!link || !link->stream) {
+            link = nullptr;
+            for (const auto& one : links_)
+                if (one->stream && one->director == gone.director) link = one;
+        }
+        if (link) return send(*link, Type::release, id, cause);
+        untold_.push_back({id, cause, gone.director});
+    }
+
+    static constexpr Time kCatchUp = 50;  // after a hang: until all that came meanwhile has been read
+    static constexpr std::size_t kTimersKept = 4096;  // longer than any of them runs
+
+    io::Loop& loop_;
+    const std::string name_;
+    std::mt19937_64 random_;
+    Ledger& ledger_;
+    std::vector<std::unique_ptr<io::Listener>> listeners_;  // by director
+    std::list<std::shared_ptr<Link>> links_;
+    std::map<RequestId, Session> sessions_;
+    std::vector<Untold> untold_;
+    std::list<io::Timer> timers_;
+    std::vector<std::function<void()>> waiting_;
+    bool hanging_ = false;
+    Time hang_began_ = 0, hang_ended_ = -kCatchUp;
+    io::Timer hang_timer_;
+};
+
+}  // namespace ivyfield::soak
