A director that leaves drains each connection; what crosses its end finds it there

What callers saw: at SIGTERM, clients that go on sending on open connections had set-ups closed unanswered, and the one resend that the protocol allows was refused, since the process had gone.

Cause: the end of the connections was the end of the process. RelayProcess::stopping ended all connections and left in the same turn; with clients that go on sending the 50 ms of silence never came, so it did so at the hard deadline, in the middle of the traffic. A set-up in a receive buffer at that moment was never read.

Ruled out: answers given and lost (the ledger has no request with a reply on a closed connection), late answers, killed processes.

Change: from the end of the time for taking on, a connection is ended when nothing is open on it and its input has been read (Stream::receive_arrived), the listener stays, a new connection has its time to bring what crossed, and the process leaves once every connection is closed by both sides and 100 ms are silent. The hard deadline remains the last resort. decide::Shutdown says which and when. Its tests want more than before: 100 ms of silence in place of 50, and no connection left.

--- a/src/cli/relay.cpp
+++ b/src/cli/relay.cpp
@@ -182,12 +182,14 @@
     done_ = std::move(done);
     shutdown_.emplace(config_.settings, loop_.now());
     engine_.answer_by(shutdown_->answer_by());
-    front_.stop_taking(shutdown_->take_until());
+    front_.begin_shutdown(*shutdown_);
     remark(log::Level::info, "stopping", {{"owed", engine_.owed()}});
     stopping();
 }
 void RelayProcess::stopping() {
-    const decide::Unfinished left{engine_.owed(), !front_.drained() || !nodes_.drained(), front_.heard_at()};
+    front_.end_drained_connections();
+    const decide::Unfinished left{engine_.owed(), !front_.drained() || !nodes_.drained(), front_.connections(),
+                                  front_.heard_at()};
     if (!shutdown_->leaves(loop_.now(), left)) {
         stop_timer_ = loop_.after(kLookEvery, [this] { stopping(); });
         return;
--- a/src/decide/shutdown.cpp
+++ b/src/decide/shutdown.cpp
@@ -9,9 +9,11 @@
 // PROTOCOL, "Figures": the kill comes so long after the longest deadline, of which so much counts at most; a
 // request that came within this time of SIGTERM is to be answered.
 constexpr Time kAfterDeadline = 700, kDeadlineCounts = 3000;
-// PROTOCOL, "Viewers to directors": what crosses a close within this time is sent again. Silence for so long
-// is the end of what comes, and answers that leave so long before the kill arrive.
+// PROTOCOL, "Viewers to directors": what crosses a close within this time is sent again. Answers that leave so
+// long before the kill arrive.
 constexpr Time kCrossing = 50;
+// After the last word from clients: what crossed a close has been sent again by then, on a new connection.
+constexpr Time kQuiet = 2 * kCrossing;
 
 }  // namespace
 
@@ -25,9 +27,17 @@
 
 Time Shutdown::answer_by() const { return killed_ - 2 * kCrossing; }
 
+// A new connection brings a request that crossed the end of another: it has its time to come.
+bool Shutdown::ends_connection(Time now, const DrainingConnection& connection) const {
+    if (now < take_until() || connection.open > 0) return false;
+    if (connection.requested || connection.accepted < take_until()) return true;
+    return now - connection.accepted >= kQuiet;
+}
+
 bool Shutdown::leaves(Time now, const Unfinished& left) const {
     if (now >= killed_ - kCrossing) return true;
-    return now >= take_until() && left.owed == 0 && !left.unsent && now - left.heard >= kCrossing;
+    if (now < take_until() || left.owed > 0 || left.unsent || left.connections > 0) return false;
+    return now - left.heard >= kQuiet;
 }
 
 }  // namespace ivyfield::decide
--- a/src/decide/shutdown.hpp
+++ b/src/decide/shutdown.hpp
@@ -1,7 +1,11 @@
-// How a director ends that was told to (SIGTERM): until when it takes set-ups, by when it has answered what
-// it took, and when it leaves. The figures are the platform's protocol's: it is killed no earlier than its
-// longest deadline (at most 3 s of it) and 0.7 s later, and until 0.7 s requests still come. No I/O, no
-// clock.
+// Graceful shutdown of a director (SIGTERM): until when it takes set-ups, by when it has answered what it took,
+// which client connections it ends, and when the process leaves. The figures are the platform's protocol's: the
+// kill comes no earlier than the longest deadline (at most 3 s of it) and 0.7 s later, and until 0.7 s requests
+// still come. No I/O, no clock.
+//
+// A connection's end is not the process's end: each connection is ended once nothing is open on it, the listener
+// stays for requests that cross such an end and are sent again, and the process leaves when every connection is
+// closed by both sides and no more come. The hard deadline is the last resort.
 #pragma once
 
 #include <cstddef>
@@ -12,18 +16,29 @@
 
 // What a director that ends still has to do, as far as it matters here.
 struct Unfinished {
-    std::size_t owed = 0;  // set-ups without an answer
-    bool unsent = false;   // something written has not left yet
-    Time heard = 0;        // when something last came from viewers
+    std::size_t owed = 0;         // set-ups without an answer
+    bool unsent = false;          // something written has not left yet
+    std::size_t connections = 0;  // of clients, not yet closed by both sides
+    Time heard = 0;               // when something last came from clients
+};
+
+// One client connection during the shutdown.
+struct DrainingConnection {
+    std::size_t open = 0;    // set-ups without an answer
+    bool requested = false;  // a message has come on it
+    Time accepted = 0;
 };
 
 class Shutdown {
   public:
+    // `asked`: when SIGTERM was found.
     Shutdown(const Settings& settings, Time asked);
     // What comes later is refused; trying again elsewhere is harmless.
     Time take_until() const;
     // What is still unanswered then is given up: nobody would answer it after the kill.
     Time answer_by() const;
+    // Whether that connection is ended now.
+    bool ends_connection(Time now, const DrainingConnection& connection) const;
     // True: nothing is left to do, or no time to do it.
     bool leaves(Time now, const Unfinished& left) const;
 
--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -42,7 +42,8 @@
     };
     std::deque<Told> told;  // ends told on it a moment ago: they may have crossed its close
     bool gone = false;
-    io::Time used = 0, ended = 0;
+    bool requested = false;  // a message has come on it
+    io::Time accepted = 0, used = 0, ended = 0;
 
     explicit Connection(RelayFront& o) : owner(o) {}
     void on_data(std::string_view bytes) override { owner.heard(*this, bytes); }
@@ -118,7 +119,7 @@
     counts_.connections += 1;
     auto owned = std::make_unique<Connection>(*this);
     owned->stream = std::move(stream);
-    owned->used = loop_.now();
+    owned->accepted = owned->used = loop_.now();
     owned->stream->set_handler(owned.get());
     connections_.push_back(std::move(owned));
 }
@@ -200,7 +201,32 @@
 }
 
 void RelayFront::close_if_done(Connection& c) {
-    if (!c.gone && c.distrusted && c.open.empty()) close(c);
+    if (!c.gone && c.distrusted && c.open.empty()) return close(c);
+    if (!shutdown_ || ending_drained_ || !is_drained(c)) return;
+    // Not within this call, which may be the module's turn: more is read of the connection first.
+    ending_drained_ = true;
+    loop_.post([this] {
+        ending_drained_ = false;
+        end_drained_connections();
+    });
+}
+
+void RelayFront::begin_shutdown(const decide::Shutdown& shutdown) { shutdown_ = shutdown; }
+
+bool RelayFront::is_drained(const Connection& c) const {
+    if (c.gone || c.ending) return false;
+    return shutdown_->ends_connection(loop_.now(), {c.open.size(), c.requested, c.accepted});
+}
+
+void RelayFront::end_drained_connections() {
+    std::vector<Connection*> drained;
+    for (const auto& c : connections_)
+        if (is_drained(*c)) drained.push_back(c.get());
+    for (Connection* c : drained) {
+        if (c->gone) continue;
+        c->stream->receive_arrived();  // a request in its buffer has not crossed our end: it is answered
+        if (is_drained(*c)) close(*c);
+    }
 }
 
 void RelayFront::end_all() {
@@ -245,6 +271,7 @@
     if (c.ending) return;
     c.used = loop_.now();
     while (!c.gone && !c.ending && !bytes.empty()) {
+        c.requested = true;
         const auto line = c.decoder.next(bytes);
         if (c.decoder.too_long()) {
             counts_.unreadable += 1;
@@ -384,9 +411,11 @@
         counts_.repeated += 1;
         return release(c, m.id, kUnusable);
     }
-    if (!decide::takes(limits_.intake, c.open.size(), loop_.now() >= stop_taking_)) {
+    const bool stopping = shutdown_ && loop_.now() >= shutdown_->take_until();
+    if (!decide::takes(limits_.intake, c.open.size(), stopping)) {
         counts_.turned_away += 1;
-        return release(c, m.id, kRefused);
+        release(c, m.id, kRefused);
+        return close_if_done(c);
     }
     auto owned = std::make_unique<Request>(*this, m.session, m.id, &c);
     Request* request = owned.get();
--- a/src/fronts/relay/front.hpp
+++ b/src/fronts/relay/front.hpp
@@ -6,13 +6,13 @@
 
 #include <deque>
 #include <functional>
-#include <limits>
 #include <list>
 #include <map>
 #include <memory>
 
 #include "core/engine.hpp"
 #include "decide/intake.hpp"
+#include "decide/shutdown.hpp"
 #include "io/loop.hpp"
 #include "relay/message.hpp"
 
@@ -56,12 +56,15 @@
 
     // A session that stood has ended or is moved; its viewer is told where that is owed.
     void gone(SessionId id, bool owed, bool moved);
-    // The end is near: set-ups that come from then on are refused. Connections are taken to the last: closing
-    // the listener would reset those that the system has accepted and nobody has read yet.
-    void stop_taking(io::Time from) { stop_taking_ = from; }
+    // Graceful shutdown: set-ups that come after its time are refused, and connections are ended one by one.
+    // New ones are taken to the last: closing the listener would reset those that the system has accepted and
+    // nobody has read yet, and what crosses an end is sent again on a new connection.
+    void begin_shutdown(const decide::Shutdown& shutdown);
+    // Ends the connections whose turn it is; to be called now and then during a shutdown.
+    void end_drained_connections();
     // When bytes or a connection last came; before it leaves a director has read all that did.
     io::Time heard_at() const { return heard_at_; }
-    // No more is said: our end follows what is written. Reset, an answer on its way would be lost.
+    // The hard deadline: our end follows what is written. Reset, an answer on its way would be lost.
     void end_all();
     io::Address address() const { return listener_->address(); }  // with its port, where 0 was asked for
     std::size_t connections() const { return connections_.size(); }
@@ -83,9 +86,9 @@
     void release(Connection& c, const std::string& id, int cause, Time wait = 0);
     void answered(SessionId id);
     void leave_all(Connection& c);
-    void finish(Connection& c);
     void close(Connection& c);
     void close_if_done(Connection& c);
+    bool is_drained(const Connection& c) const;
     void drop(Connection& c);
     bool make_room();
     void sweep();
@@ -97,7 +100,9 @@
     RelayFrontLimits limits_;
     core::Engine& engine_;
     bool began_ = false;
-    io::Time heard_at_ = 0, stop_taking_ = std::numeric_limits<io::Time>::infinity();
+    io::Time heard_at_ = 0;
+    std::optional<decide::Shutdown> shutdown_;
+    bool ending_drained_ = false;  // end_drained_connections() is posted
     std::list<std::unique_ptr<Connection>> connections_;  // oldest first
     std::map<SessionId, std::unique_ptr<Request>> requests_;
     std::map<SessionId, Connection*> standing_;  // the connection of its set-up, while that lasts; else null
--- a/src/io/ev/ev_loop.cpp
+++ b/src/io/ev/ev_loop.cpp
@@ -297,6 +297,15 @@
     }
     void pause() override { state_->paused = true, state_->interest(); }
     void resume() override { state_->paused = false, state_->interest(); }
+    void receive_arrived() override {
+        const auto keep = state_;
+        State& s = *keep;
+        if (s.closed || !s.connected || s.paused || s.peer_ended) return;
+        read(s);
+        if (s.closed) return;
+        s.interest();
+        if (s.peer_ended && s.end_sent) call_later(s);
+    }
     Address peer() const override { return state_->peer; }
     Address local() const override { return state_->local; }
 
@@ -373,6 +382,7 @@
     void end() override {}
     void pause() override {}
     void resume() override {}
+    void receive_arrived() override {}
     Address peer() const override { return peer_; }
     Address local() const override { return {}; }
 
--- a/src/io/loop.hpp
+++ b/src/io/loop.hpp
@@ -72,6 +72,9 @@
     // While paused no on_data and no on_end come, and the peer feels it once buffers are full.
     virtual void pause() = 0;
     virtual void resume() = 0;
+    // Hands over, within this call, what has arrived and was not read yet, as far as one read takes it: a
+    // connection that looks idle may have a request in its buffer. The handler may destroy the stream.
+    virtual void receive_arrived() = 0;
     virtual Address peer() const = 0;
     virtual Address local() const = 0;
 };
--- a/src/io/virtual/world.cpp
+++ b/src/io/virtual/world.cpp
@@ -70,6 +70,8 @@
         world.later(world.now(),
                     [&world, keep] { World::in(*keep->loop, [&world, keep] { drain(world, keep); }); });
     }
+    // What arrives is handed over at once; it waits only while paused, or while its process stands still.
+    void receive_arrived() override {}
     Address peer() const override { return end_->peer; }
     Address local() const override { return end_->local; }
 
--- a/tests/decide/shutdown_test.cpp
+++ b/tests/decide/shutdown_test.cpp
@@ -21,8 +21,8 @@
         EXPECT_LT(end.answer_by(), kill);
         // A set-up that comes within 0.6 s and may wait no longer than 3 s has all of its time.
         EXPECT_GE(end.answer_by(), 1000 + 600 + std::min(longest, 3000.0));
-        EXPECT_TRUE(end.leaves(kill - 1, {5, true, kill - 1})) << "with something owed, but not killed";
-        EXPECT_FALSE(end.leaves(end.answer_by(), {1, false, 0}));
+        EXPECT_TRUE(end.leaves(kill - 1, {5, true, 3, kill - 1})) << "with something owed, but not killed";
+        EXPECT_FALSE(end.leaves(end.answer_by(), {1, false, 0, 0}));
     }
 }
 
@@ -30,11 +30,24 @@
     const Shutdown end(with_patience({3000}), 1000);
     EXPECT_GE(end.take_until(), 1000 + 700);
     const Time now = end.take_until() + 100;
-    EXPECT_TRUE(end.leaves(now, {0, false, now - 50}));
-    EXPECT_FALSE(end.leaves(now, {1, false, now - 50}));
-    EXPECT_FALSE(end.leaves(now, {0, true, now - 50}));
-    EXPECT_FALSE(end.leaves(now, {0, false, now - 20})) << "something has just come: more may";
-    EXPECT_FALSE(end.leaves(end.take_until() - 1, {0, false, 0})) << "set-ups still come";
+    EXPECT_TRUE(end.leaves(now, {0, false, 0, now - 100}));
+    EXPECT_FALSE(end.leaves(now, {1, false, 0, now - 100}));
+    EXPECT_FALSE(end.leaves(now, {0, true, 0, now - 100}));
+    EXPECT_FALSE(end.leaves(now, {0, false, 1, now - 100})) << "a client has not closed its side yet";
+    EXPECT_FALSE(end.leaves(now, {0, false, 0, now - 60})) << "what crossed a close may be sent again";
+    EXPECT_FALSE(end.leaves(end.take_until() - 1, {0, false, 0, 0})) << "set-ups still come";
+}
+
+TEST(Shutdown, EndsAConnectionOnceNothingIsOpenOnIt) {
+    const Shutdown end(with_patience({3000}), 1000);
+    const Time now = end.take_until() + 10;
+    EXPECT_FALSE(end.ends_connection(end.take_until() - 1, {0, true, 900})) << "set-ups still come on it";
+    EXPECT_TRUE(end.ends_connection(now, {0, true, 900}));
+    EXPECT_TRUE(end.ends_connection(now, {0, false, 900})) << "nobody has said a word on it";
+    EXPECT_FALSE(end.ends_connection(now, {1, true, 900}));
+    EXPECT_FALSE(end.ends_connection(now, {0, false, now - 5})) << "what it was opened for is on its way";
+    EXPECT_TRUE(end.ends_connection(now, {0, true, now - 5}));
+    EXPECT_TRUE(end.ends_connection(now + 100, {0, false, now - 5}));
 }
 
 }  // namespace
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -79,7 +79,7 @@
         std::size_t asked_names = 0;  // which of them it is told to ask
         io::Timer watch, ready;
         std::unique_ptr<io::Stream> test;
-        bool restarting = false;
+        bool restarting = false, down = true;
     };
 
     double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
@@ -116,6 +116,7 @@
     // ---- Directors ----
 
     void start(Seat& seat) {
+        seat.down = false;
         seat.director->start(config(seat));
         await_ready(seat);
     }
@@ -160,6 +161,7 @@
                 at->clients->forget_connections();
                 ledger_.incarnation_over(at->director->index(), at->director->incarnation(), loop_.now());
                 at->restarting = false;
+                at->down = true;
                 if (winding_down_) return seat_over();
                 later(between(20, 200), [this, at] {
                     if (!winding_down_) start(*at);
@@ -219,10 +221,12 @@
         later(kLastTerm, [this] {
             for (Seat& seat : seats_) {
                 seat.ready.stop();
-                if (seat.restarting) continue;
+                if (seat.restarting || seat.down) continue;
                 seat.restarting = true;
-                terminate(seat);
+                if (seat.director->running()) terminate(seat);
+                else watch(seat);
             }
+            seat_over();
         });
         later(kLastTerm + 2 * kKillAfterTerm, [this] { loop_.stop(); });
     }
