An evicted or idle connection is read before it is closed, and its last answer arrives

What callers could see: with all client connections in use, the one that gives way to a new one was closed with a reset at once. A set-up that had arrived in its buffer before (for longer than the 50 ms in which the protocol has it sent again) was never answered, and an answer not yet read by the client could be taken back by the reset.

Evidence: both new tests failed before: no message came to the node within 10 s, and the client saw a reset where an end is wanted. Ruled out: the intake's choice; it picks a connection with nothing open, as far as it has been read.

After: both tests pass, relay and process tests too.

--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -125,20 +125,30 @@
 }
 
 bool RelayFront::make_room() {
-    if (connections_.size() < limits_.intake.connections) return true;
-    std::vector<Connection*> connections;
-    std::vector<decide::Held> held;
-    for (const auto& c : connections_) {
-        connections.push_back(c.get());
-        held.push_back({c->open.size(), c->carried, c->used});
+    while (connections_.size() >= limits_.intake.connections) {
+        std::vector<Connection*> connections;
+        std::vector<decide::Held> held;
+        for (const auto& c : connections_) {
+            connections.push_back(c.get());
+            held.push_back({c->open.size(), c->carried, c->used});
+        }
+        const auto candidate = decide::gives_way(held);
+        if (!candidate) return false;
+        evict(*connections[*candidate]);
     }
-    const auto way = decide::gives_way(held);
-    if (!way) return false;
-    counts_.shed += 1;
-    drop(*connections[*way]);
     return true;
 }
 
+// A request that has arrived is taken first; the connection stays then. What was written still leaves: a stream
+// that has been ended is not reset when it is destroyed.
+void RelayFront::evict(Connection& c) {
+    c.stream->receive_arrived();
+    if (c.gone || !c.open.empty()) return;
+    c.stream->end();
+    counts_.shed += 1;
+    drop(c);
+}
+
 void RelayFront::drop(Connection& c) {
     if (c.gone) return;
     c.gone = true;
@@ -194,12 +204,18 @@
             old.push_back(c.get());
     }
     for (Connection* c : old) {
+        if (c->gone) continue;
         if (c->ending) drop(*c);
-        else close(*c);
+        else end_idle(*c);
     }
     sweep_ = loop_.after(kSweep, [this] { sweep(); });
 }
 
+void RelayFront::end_idle(Connection& c) {
+    c.stream->receive_arrived();
+    if (!c.gone && c.open.empty()) close(c);
+}
+
 void RelayFront::close_if_done(Connection& c) {
     if (!c.gone && c.distrusted && c.open.empty()) return close(c);
     if (!shutdown_ || ending_drained_ || !is_drained(c)) return;
--- a/src/fronts/relay/front.hpp
+++ b/src/fronts/relay/front.hpp
@@ -87,6 +87,8 @@
     void answered(SessionId id);
     void leave_all(Connection& c);
     void close(Connection& c);
+    void evict(Connection& c);
+    void end_idle(Connection& c);
     void close_if_done(Connection& c);
     bool is_drained(const Connection& c) const;
     void drop(Connection& c);
--- a/tests/relay/process_test.cpp
+++ b/tests/relay/process_test.cpp
@@ -484,5 +484,47 @@
     EXPECT_TRUE(stage.running());
 }
 
+// The set-up was there before the new connections that push its connection out.
+TEST(RelayProcessCrowds, ASetUpInTheBufferOfAnEvictedConnectionIsNotLost) {
+    for (const bool set_up_first : {true, false}) {
+        Stage stage(1, 64);
+        stage.start();
+        Wire oldest = stage.viewer();
+        stage.barrier(oldest);
+        std::list<Wire> others;
+        for (int k = 0; k < 24; ++k) {
+            others.push_back(stage.viewer());
+            stage.barrier(others.back());
+        }
+        stage.stop();
+        if (set_up_first) oldest.say(setup_line(1, "paid"));
+        for (int k = 0; k < 8; ++k) others.push_back(stage.viewer());
+        if (!set_up_first) oldest.say(setup_line(1, "paid"));
+        const double late = clock_ms() + 100;  // longer than what crosses a close may take
+        stage.await([&] { return clock_ms() > late; });
+        stage.go_on();
+        Wire node = stage.accept();
+        EXPECT_EQ(stage.frame(node, Type::setup).session, 1u);
+        node.send(Type::answer, 1, -1, {{63, "it plays"}});
+        EXPECT_EQ(stage.line(oldest).type, Type::answer);
+    }
+}
+
+// The last thing before its connection is pushed out is an answer: the client reads it whole, then the end.
+TEST(RelayProcessCrowds, AnAnswerOnAnEvictedConnectionArrives) {
+    Stage stage(1, 64);
+    stage.start();
+    Wire oldest = stage.viewer();
+    Wire node = stands(stage, oldest, 1, "paid");
+    std::list<Wire> others;
+    for (int k = 0; k < 24; ++k) {
+        others.push_back(stage.viewer());
+        others.back().say(setup_line(10 + static_cast<std::uint64_t>(k), "paid"));
+        stage.barrier(others.back());
+    }
+    for (int k = 0; k < 8; ++k) others.push_back(stage.viewer());
+    EXPECT_EQ(stage.end_of(oldest), Wire::End::clean);
+}
+
 }  // namespace
 }  // namespace ivyfield::relaytest
