Logs tell why each client connection closed and which ends crossed an answer

Change: each close is counted once under its reason (status, viewers.closed); one that ends with a set-up open, or within 50 ms of an answer on it, is a line of its own with the connection's number. A session that its client ends at the node within 50 ms of our answer says so in its line and is counted (sessions.ends_crossing_answers). No behaviour is changed.

--- a/src/cli/relay.cpp
+++ b/src/cli/relay.cpp
@@ -76,6 +76,13 @@
         bad_told_ += 1;
         remark(log::Level::warning, "bad set-up", {{"why", why}, {"fields", m.fields}});
     };
+    front_.on_closed = [this](const fronts::ClosedConnection& closed) {
+        json line = {{"connection", closed.number},
+                     {"reason", fronts::name(closed.reason)},
+                     {"open", closed.open}};
+        if (closed.since_answer) line["since_answer_ms"] = *closed.since_answer;
+        remark(log::Level::info, "client connection closed", line);
+    };
     front_.first_set_up = [this] { begin(); };
     remark(log::Level::info, "started",
            {{"listen", front_.address().text()}, {"list", config.dns.text()}, {"nodes", members_.size()}});
@@ -89,6 +96,7 @@
     engine_.on_end = nullptr;
     engine_.on_remark = nullptr;
     engine_.on_gone = nullptr;
+    front_.on_closed = nullptr;
     nodes_.on_remark = nullptr;
 }
 
@@ -216,6 +224,9 @@
     const fronts::RelayFrontCounts& f = front_.counts();
     const nodes::RelayCounts& n = nodes_.counts();
     const discovery::SrvCounts& d = list_.counts();
+    json closed = json::object();
+    for (std::size_t k = 0; k < fronts::kCloseReasons; ++k)
+        if (f.closed[k] > 0) closed[fronts::name(static_cast<fronts::CloseReason>(k))] = f.closed[k];
     return {{"sessions",
              {{"taken", e.taken},
               {"played", e.played},
@@ -226,11 +237,13 @@
               {"attempts", e.attempts},
               {"retried", e.retries},
               {"lost", e.reset},
+              {"ends_crossing_answers", e.ends_crossing_answers},
               {"open", engine_.open_sessions()},
               {"playing", engine_.playing()}}},
             {"viewers",
              {{"connections", front_.connections()},
               {"set_ups", f.set_ups},
+              {"closed", closed},
               {"unreadable", f.unreadable},
               {"bad", f.bad},
               {"repeated", f.repeated},
--- a/src/cli/session_line.cpp
+++ b/src/cli/session_line.cpp
@@ -20,6 +20,7 @@
                  {"moved", r.moved},
                  {"taken_back", r.taken_back},
                  {"ended_by", r.ended_by}};
+    if (r.end_crossed_answer) line["end_crossed_answer"] = true;
     // The phases, in the order of their happening: held, set up, played.
     const Time answered = r.answered_at;
     line["held_ms"] = rounded((r.first_sent > 0 ? r.first_sent : answered) - r.taken);
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -453,6 +453,12 @@
     if (was == State::playing) {
         playing_ -= 1;
         counts_.reset += outcome == Outcome::reset;
+        const bool by_client = outcome == Outcome::cancelled && !s.hung_up && !s.moving;
+        if (by_client && !s.record.taken_back && s.record.answer == Answer::plays &&
+            decide::may_have_crossed(loop_.now() - s.record.answered_at)) {
+            s.record.end_crossed_answer = true;
+            counts_.ends_crossing_answers += 1;
+        }
         const bool told = s.record.answer == Answer::plays;
         const bool owed = decide::owes_release({outcome, told, s.hung_up, s.moving});
         if (on_gone) on_gone(id, owed, false);
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -43,6 +43,7 @@
     Ask ask;
     Answer answer = Answer::abandoned;
     bool answered = false, returning = false, moved = false;
+    bool end_crossed_answer = false;  // its client ended it at the node while our answer was on its way
     bool taken_back =
         false;  // set up by an earlier life of this director; its phases begin at the taking back
     Time taken = 0, first_sent = 0, answered_at = 0, ended = 0, deadline = 0, retry_after = 0;
@@ -56,6 +57,7 @@
     std::uint64_t taken = 0, joined = 0, played = 0, refused = 0, failed = 0, abandoned = 0;
     std::uint64_t attempts = 0, retries = 0, late = 0, ended = 0, reset = 0;
     std::uint64_t taken_back = 0, not_taken_back = 0;
+    std::uint64_t ends_crossing_answers = 0;
 };
 
 struct EngineLimits {
--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <utility>
 
 #include "decide/endings.hpp"
 
@@ -25,6 +26,32 @@
 
 }  // namespace
 
+const char* name(CloseReason reason) {
+    switch (reason) {
+        case CloseReason::client_end:
+            return "client_end";
+        case CloseReason::client_reset:
+            return "client_reset";
+        case CloseReason::drained:
+            return "drained";
+        case CloseReason::hard_deadline:
+            return "hard_deadline";
+        case CloseReason::idle:
+            return "idle";
+        case CloseReason::evicted:
+            return "evicted";
+        case CloseReason::unreadable:
+            return "unreadable";
+        case CloseReason::unusable:
+            return "unusable";
+        case CloseReason::repeated_number:
+            return "repeated_number";
+        case CloseReason::unread_output:
+            return "unread_output";
+    }
+    return "?";
+}
+
 struct RelayFront::Connection : io::StreamHandler {
     RelayFront& owner;
     std::unique_ptr<io::Stream> stream;
@@ -42,21 +69,18 @@
     };
     std::deque<Told> told;  // ends told on it a moment ago: they may have crossed its close
     bool gone = false;
+    bool accounted = false;  // the reason of its close has been counted
+    std::uint64_t number = 0;
+    std::optional<io::Time> answered;  // when the last answer was written on it
     bool requested = false;  // a message has come on it
     io::Time accepted = 0, used = 0, ended = 0;
 
     explicit Connection(RelayFront& o) : owner(o) {}
     void on_data(std::string_view bytes) override { owner.heard(*this, bytes); }
     // Viewers close as a whole: one that sends no more waits for nothing more.
-    void on_end() override {
-        owner.leave_all(*this);
-        owner.drop(*this);
-    }
+    void on_end() override { owner.closed_by_client(*this, CloseReason::client_end); }
     void on_drained() override {}
-    void on_closed(io::Closing) override {
-        owner.leave_all(*this);
-        owner.drop(*this);
-    }
+    void on_closed(io::Closing) override { owner.closed_by_client(*this, CloseReason::client_reset); }
 };
 
 struct RelayFront::Request : core::Waiter {
@@ -74,6 +98,7 @@
         owner.answered(session);
         owner.standing_[session] = c;
         c->standing.insert(session);
+        c->answered = owner.loop_.now();
         owner.send(*c, m);
         owner.close_if_done(*c);
     }
@@ -119,6 +144,7 @@
     counts_.connections += 1;
     auto owned = std::make_unique<Connection>(*this);
     owned->stream = std::move(stream);
+    owned->number = counts_.connections;
     owned->accepted = owned->used = loop_.now();
     owned->stream->set_handler(owned.get());
     connections_.push_back(std::move(owned));
@@ -146,13 +172,29 @@
     if (c.gone || !c.open.empty()) return;
     c.stream->end();
     counts_.shed += 1;
-    drop(c);
+    drop(c, CloseReason::evicted);
+}
+
+// To be called before what is open on the connection is given up.
+void RelayFront::account_for_close(Connection& c, CloseReason reason) {
+    if (std::exchange(c.accounted, true)) return;
+    counts_.closed[static_cast<std::size_t>(reason)] += 1;
+    ClosedConnection closed{c.number, reason, c.open.size(), std::nullopt};
+    if (c.answered) closed.since_answer = loop_.now() - *c.answered;
+    const bool crosses_answer = closed.since_answer && decide::may_have_crossed(*closed.since_answer);
+    if (on_closed && (closed.open > 0 || crosses_answer)) on_closed(closed);
 }
 
-void RelayFront::drop(Connection& c) {
+void RelayFront::closed_by_client(Connection& c, CloseReason reason) {
+    account_for_close(c, reason);
+    leave_all(c);
+    drop(c, reason);
+}
+
+void RelayFront::drop(Connection& c, CloseReason reason) {
     if (c.gone) return;
+    account_for_close(c, reason);
     c.gone = true;
-    counts_.closed += 1;
     for (const SessionId id : c.standing)
         if (const auto it = standing_.find(id); it != standing_.end()) it->second = nullptr;
     const auto it = std::find_if(connections_.begin(), connections_.end(),
@@ -176,8 +218,9 @@
 
 // Sends what is written, then our end; what still comes is read and thrown away for a while: closing with
 // input unread would reset the connection and take the last answer away.
-void RelayFront::close(Connection& c) {
+void RelayFront::close(Connection& c, CloseReason reason) {
     if (c.gone || c.ending) return;
+    account_for_close(c, reason);
     leave_all(c);
     c.ending = true;
     c.ended = loop_.now();
@@ -205,7 +248,7 @@
     }
     for (Connection* c : old) {
         if (c->gone) continue;
-        if (c->ending) drop(*c);
+        if (c->ending) drop(*c, CloseReason::idle);
         else end_idle(*c);
     }
     sweep_ = loop_.after(kSweep, [this] { sweep(); });
@@ -213,11 +256,11 @@
 
 void RelayFront::end_idle(Connection& c) {
     c.stream->receive_arrived();
-    if (!c.gone && c.open.empty()) close(c);
+    if (!c.gone && c.open.empty()) close(c, CloseReason::idle);
 }
 
 void RelayFront::close_if_done(Connection& c) {
-    if (!c.gone && c.distrusted && c.open.empty()) return close(c);
+    if (!c.gone && c.distrusted && c.open.empty()) return close(c, CloseReason::repeated_number);
     if (!shutdown_ || ending_drained_ || !is_drained(c)) return;
     // Not within this call, which may be the module's turn: more is read of the connection first.
     ending_drained_ = true;
@@ -241,13 +284,18 @@
     for (Connection* c : drained) {
         if (c->gone) continue;
         c->stream->receive_arrived();  // a request in its buffer has not crossed our end: it is answered
-        if (is_drained(*c)) close(*c);
+        if (is_drained(*c)) close(*c, CloseReason::drained);
     }
 }
 
 void RelayFront::end_all() {
-    for (const auto& c : connections_)
-        if (!c->ending) c->ending = true, c->ended = loop_.now(), c->stream->end();
+    for (const auto& c : connections_) {
+        if (c->ending) continue;
+        account_for_close(*c, CloseReason::hard_deadline);
+        c->ending = true;
+        c->ended = loop_.now();
+        c->stream->end();
+    }
 }
 
 bool RelayFront::drained() const {
@@ -268,8 +316,9 @@
     loop_.post([this, at = &c] {
         for (const auto& one : connections_) {
             if (one.get() != at || !one->unread) continue;
+            account_for_close(*at, CloseReason::unread_output);
             leave_all(*at);
-            return drop(*at);
+            return drop(*at, CloseReason::unread_output);
         }
     });
 }
@@ -291,7 +340,7 @@
         const auto line = c.decoder.next(bytes);
         if (c.decoder.too_long()) {
             counts_.unreadable += 1;
-            return close(c);
+            return close(c, CloseReason::unreadable);
         }
         if (!line) return;
         take(c, *line);
@@ -305,7 +354,7 @@
         // One that names a session is told; what it belongs to is not known otherwise.
         if (const auto number = relay::read_hex(fault->id); number && !requests_.count(*number))
             return release(c, fault->id, kUnusable);
-        return close(c);
+        return close(c, CloseReason::unreadable);
     }
     const auto& m = std::get<ViewerMessage>(read);
     switch (m.type) {
@@ -324,7 +373,7 @@
             return;
         default:
             counts_.bad += 1;
-            return close(c);
+            return close(c, CloseReason::unusable);
     }
 }
 
@@ -453,7 +502,7 @@
 void RelayFront::take_release(Connection& c, const ViewerMessage& m) {
     if (const auto it = requests_.find(m.session); it != requests_.end()) {
         // Only its own viewer gives a set-up up.
-        if (it->second->connection != &c) return close(c);
+        if (it->second->connection != &c) return close(c, CloseReason::unusable);
         counts_.gave_up += 1;
         Request* request = it->second.get();
         engine_.leave(m.session, request);
@@ -474,7 +523,7 @@
     // no other use then.
     counts_.unknown_releases += 1;
     send(c, heard);
-    if (!c.gone && !c.carried) close(c);
+    if (!c.gone && !c.carried) close(c, CloseReason::unusable);
 }
 
 // ---- What ends ----
--- a/src/fronts/relay/front.hpp
+++ b/src/fronts/relay/front.hpp
@@ -4,6 +4,7 @@
 // here: which set-up is placed, refused or held is the module's word.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <list>
@@ -26,9 +27,34 @@
     io::Time idle = 10000;  // without a session
 };
 
+// Why a client connection ended; the first reason found counts.
+enum class CloseReason {
+    client_end,       // its client closed it
+    client_reset,     // it broke
+    drained,          // graceful shutdown, nothing open on it
+    hard_deadline,    // graceful shutdown, no time left
+    idle,             // without a session for long
+    evicted,          // made room for a new one
+    unreadable,       // what came is no message
+    unusable,         // a message that only a faulty client sends
+    repeated_number,  // two requests under one number
+    unread_output     // its client does not read
+};
+constexpr std::size_t kCloseReasons = static_cast<std::size_t>(CloseReason::unread_output) + 1;
+const char* name(CloseReason reason);
+
+// A connection that ended while something was at stake on it.
+struct ClosedConnection {
+    std::uint64_t number = 0;  // in the order of acceptance, from 1
+    CloseReason reason = CloseReason::client_end;
+    std::size_t open = 0;                  // set-ups without an answer
+    std::optional<io::Time> since_answer;  // the last one written on it
+};
+
 struct RelayFrontCounts {
+    std::array<std::uint64_t, kCloseReasons> closed{};  // by reason
     std::uint64_t connections = 0, set_ups = 0, unreadable = 0, bad = 0, repeated = 0, gave_up = 0,
-                  closed = 0, tests = 0, adopted = 0, hung_up = 0, releases = 0, unknown_releases = 0,
+                  tests = 0, adopted = 0, hung_up = 0, releases = 0, unknown_releases = 0,
                   shed = 0, turned_away = 0;
 };
 
@@ -51,6 +77,8 @@
     std::function<bool(const core::Ask& ask, ServerId server)> adopt;
     // A set-up that can't be used, and why.
     std::function<void(const std::string& why, const relay::ViewerMessage& m)> on_bad;
+    // A connection ends with a set-up open on it, or so soon after an answer that the two may have crossed.
+    std::function<void(const ClosedConnection&)> on_closed;
     // Before the first set-up is passed on.
     std::function<void()> first_set_up;
 
@@ -86,12 +114,14 @@
     void release(Connection& c, const std::string& id, int cause, Time wait = 0);
     void answered(SessionId id);
     void leave_all(Connection& c);
-    void close(Connection& c);
+    void close(Connection& c, CloseReason reason);
+    void account_for_close(Connection& c, CloseReason reason);
+    void closed_by_client(Connection& c, CloseReason reason);
     void evict(Connection& c);
     void end_idle(Connection& c);
     void close_if_done(Connection& c);
     bool is_drained(const Connection& c) const;
-    void drop(Connection& c);
+    void drop(Connection& c, CloseReason reason);
     bool make_room();
     void sweep();
     void flush_kept(Connection& c);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1,5 +1,6 @@
 // The director of the platform end to end on the virtual world: viewers, nodes and name server that fail.
 #include <fstream>
+#include <numeric>
 
 #include "rig.hpp"
 
@@ -572,6 +573,30 @@
     rig.run(500);
     EXPECT_EQ(v.heard.size(), 2u);
     EXPECT_EQ(rig.director->engine().playing(), 0u);
+    EXPECT_EQ(rig.director->engine().counts().ends_crossing_answers, 1u) << "the first alone";
+}
+
+TEST(Relay, EachCloseOfAClientConnectionIsCountedOnceUnderItsReason) {
+    Rig rig;
+    rig.nodes[0]->react = [](auto&, const auto&) {};
+    Viewer& leaves = rig.viewer();
+    Viewer& babbles = rig.viewer();
+    rig.viewer();
+    leaves.say(setup_line(1, "paid", 2000));
+    rig.run(100);
+    leaves.stream->end();
+    babbles.say("no message");
+    rig.run(100);
+    bool done = false;
+    rig.director->stop([&] { done = true; });
+    rig.run(3000);
+    ASSERT_TRUE(done);
+    const auto& closed = rig.director->front().counts().closed;
+    const auto of = [&](fronts::CloseReason reason) { return closed[static_cast<std::size_t>(reason)]; };
+    EXPECT_EQ(of(fronts::CloseReason::client_end), 1u);
+    EXPECT_EQ(of(fronts::CloseReason::unreadable), 1u);
+    EXPECT_EQ(of(fronts::CloseReason::drained), 1u);
+    EXPECT_EQ(std::accumulate(closed.begin(), closed.end(), 0u), 3u);
 }
 
 // A viewer ends its session, and the module moves one, while no connection to the node is there, or on one
