A broken invariant fails its own session; the process and all others go on

What callers would see: core::Slip, thrown for one session (an action for a session that is not open, a start without an attempt out, a second answer), left the loop and ended the process, so that every request that the director had taken was lost with it.

Change: the engine contains a slip where a module's action or a node's start raises it: that session gets its one answer, or its release, its node is told, module and tables forget it, its history is an error line and sessions.slips counts it.

--- a/src/cli/director.cpp
+++ b/src/cli/director.cpp
@@ -110,6 +110,7 @@
                   {"failed", c.failed},
                   {"abandoned", c.abandoned},
                   {"late", c.late},
+                  {"slips", c.slips},
                   {"taken_back", c.taken_back},
                   {"not_taken_back", c.not_taken_back},
                   {"attempts", c.attempts},
--- a/src/cli/relay.cpp
+++ b/src/cli/relay.cpp
@@ -58,6 +58,9 @@
     engine_.on_remark = [this](const std::string& text) {
         remark(log::Level::info, "module", {{"text", text}});
     };
+    engine_.on_slip = [this](const std::string& history) {
+        remark(log::Level::error, "broken invariant", {{"history", history}});
+    };
     engine_.on_gone = [this](SessionId id, bool owed, bool moved) { front_.gone(id, owed, moved); };
     nodes_.on_remark = [this](const std::string& text) {
         remark(log::Level::warning, "nodes", {{"text", text}});
@@ -95,6 +98,7 @@
 RelayProcess::~RelayProcess() {
     engine_.on_end = nullptr;
     engine_.on_remark = nullptr;
+    engine_.on_slip = nullptr;
     engine_.on_gone = nullptr;
     front_.on_closed = nullptr;
     nodes_.on_remark = nullptr;
@@ -237,6 +241,7 @@
               {"attempts", e.attempts},
               {"retried", e.retries},
               {"lost", e.reset},
+              {"slips", e.slips},
               {"ends_crossing_answers", e.ends_crossing_answers},
               {"open", engine_.open_sessions()},
               {"playing", engine_.playing()}}},
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -87,16 +87,59 @@
     std::string text =
         "session " + std::to_string(s.record.id) + " (sid \"" + s.record.ask.sid + "\"): " + what;
     for (const std::string& line : s.history) text += "\n  " + line;
-    throw Slip(text);
+    throw Slip(s.record.id, text);
 }
 Engine::Session& Engine::known(SessionId id, const char* action) {
     const auto it = sessions_.find(id);
     if (it == sessions_.end())
-        throw Slip(std::string("the module's ") + action + " names session " + std::to_string(id) +
+        throw Slip(id, std::string("the module's ") + action + " names session " + std::to_string(id) +
                    ", which is not open");
     return *it->second;
 }
 
+// Runs one step of one session's life.
+template <typename Step>
+void Engine::contain_slips(const Step& step) {
+    try {
+        step();
+    } catch (const Slip& slip) {
+        if (limits_.raise_slips) throw;
+        contain(slip);
+    }
+}
+
+void Engine::contain(const Slip& slip) {
+    counts_.slips += 1;
+    if (on_slip) on_slip(slip.what());
+    fail_broken(slip.session());
+}
+
+// Its client has one answer, its node is told, module and tables forget it.
+void Engine::fail_broken(SessionId id) {
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end()) return;
+    Session& s = *it->second;
+    const bool established = s.record.answered && s.record.answer == Answer::plays;
+    if (!s.record.answered) answer(s, Answer::failed);
+    s.expiry.stop();
+    AttemptOver over;
+    over.id = id;
+    over.attempt = s.attempt;
+    over.outcome = Outcome::cancelled;
+    over.session_over = true;
+    if (s.attempt >= 0) {
+        over.server = s.record.tries.back().server;
+        s.record.tries.back().end = name(Outcome::cancelled);
+        seat(s, -1);
+        if (s.state == State::playing) playing_ -= 1;
+        nodes_.cancel(over.server, id, s.attempt);
+    }
+    if (established && on_gone) on_gone(id, !s.hung_up && !s.moving, false);
+    finish(id, "director");
+    if (over.attempt >= 0) feed(over);
+    else feed(SessionAbandoned{id});
+}
+
 // ---- Requests ----
 
 // Fields are cut with a byte that a sid cannot hold, so that no two asks share a key by accident.
@@ -368,7 +411,12 @@
 void Engine::started(SessionId id, int attempt, const Media& media) {
     const auto it = sessions_.find(id);
     if (it == sessions_.end() || it->second->attempt != attempt) return;  // its end came first
-    Session& s = *it->second;
+    contain_slips([&] { attempt_started(*it->second, media); });
+}
+
+void Engine::attempt_started(Session& s, const Media& media) {
+    const SessionId id = s.record.id;
+    const int attempt = s.attempt;
     if (s.state != State::out && s.state != State::left) slip(s, "started, though no attempt is out");
     remark(s, "started");
     s.expiry.stop();
@@ -492,7 +540,8 @@
         events_.pop_front();
         std::vector<Action> actions;
         director_.handle(loop_.now(), next, actions);
-        for (const Action& action : actions) std::visit([this](const auto& a) { carry(a); }, action);
+        for (const Action& action : actions)
+            contain_slips([&] { std::visit([this](const auto& a) { carry(a); }, action); });
     }
 }
 
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -11,7 +11,8 @@
 // an id of its own (an adopted session that nobody waits for) until the node port says that it is released:
 // no seat, stream or link room is given twice on a guess.
 // A slip of our own (an action for a session that never was, a second attempt while one is out, an answer
-// twice, a paid set-up repeated without proof) throws Slip with the session's history.
+// twice, a paid set-up repeated without proof) throws Slip with the session's history. In service it fails that
+// session alone, which is counted and told with its history; built with IVYFIELD_CHECKS it reaches the caller.
 #pragma once
 
 #include <deque>
@@ -27,9 +28,20 @@
 namespace ivyfield::core {
 
 class Slip : public std::logic_error {
-    using std::logic_error::logic_error;
+  public:
+    Slip(SessionId session, const std::string& what) : std::logic_error(what), session_(session) {}
+    SessionId session() const { return session_; }
+
+  private:
+    SessionId session_;
 };
 
+#ifdef IVYFIELD_CHECKS
+constexpr bool kRaiseSlips = true;
+#else
+constexpr bool kRaiseSlips = false;
+#endif
+
 // One attempt: where, how it ended, and how long after its own sending.
 struct Try {
     ServerId server = 0;
@@ -58,12 +70,14 @@
     std::uint64_t attempts = 0, retries = 0, late = 0, ended = 0, reset = 0;
     std::uint64_t taken_back = 0, not_taken_back = 0;
     std::uint64_t ends_crossing_answers = 0;
+    std::uint64_t slips = 0;  // sessions failed for a broken invariant
 };
 
 struct EngineLimits {
     std::size_t remembered = 100000;       // sids of ended sessions, to know who returns
     Time remembered_for = 10 * 60 * 1000;  // and for how long
     std::size_t history = 32;              // entries of a session's history, the last ones
+    bool raise_slips = kRaiseSlips;        // false: a broken invariant fails its session alone
 };
 
 class Engine : public NodeEvents {
@@ -77,6 +91,9 @@
     std::function<void(const SessionRecord&)> on_end;   // each session, once, when it is over
     std::function<void(const std::string&)> on_remark;  // the module's own log lines
 
+    // A broken invariant, with its session's history; what it belongs to has failed.
+    std::function<void(const std::string&)> on_slip;
+
     // A session that stood is over or is moved. `owed`: its viewer is to be told, since it has not ended it
     // itself and has not been told that it is moved.
     std::function<void(SessionId, bool owed, bool moved)> on_gone;
@@ -139,6 +156,11 @@
     void carry(const FetchList& a);
     void carry(const Log& a);
 
+    template <typename Step>
+    void contain_slips(const Step& step);
+    void contain(const Slip& slip);
+    void fail_broken(SessionId id);
+    void attempt_started(Session& s, const Media& media);
     Session& known(SessionId id, const char* action);
     [[noreturn]] void slip(const Session& s, const std::string& what) const;
     void remark(Session& s, std::string what);
--- a/tests/core/engine_test.cpp
+++ b/tests/core/engine_test.cpp
@@ -255,6 +255,39 @@
     EXPECT_FALSE(ended[0].returning);
     EXPECT_TRUE(ended[1].returning);
 }
+TEST_F(EngineTest, ABrokenInvariantFailsItsSessionAlone) {
+    EngineLimits limits;
+    limits.raise_slips = false;
+    engine = std::make_unique<Engine>(loop, settings, 7, nodes, nullptr, limits);
+    std::vector<std::string> told;
+    std::vector<SessionId> gone;
+    engine->on_slip = [&](const std::string& history) { told.push_back(history); };
+    engine->on_gone = [&](SessionId id, bool owed, bool) {
+        if (owed) gone.push_back(id);
+    };
+    engine->on_end = [this](const SessionRecord& record) { ended.push_back(record); };
+    ServerList list;
+    ServerEntry entry;
+    entry.id = 1, entry.weight = 1;
+    list.entries.push_back(entry);
+    engine->take_list(list);
+    FakeWaiter broken, other;
+    const SessionId first = engine->open(ask("a", 0), &broken), second = engine->open(ask("b", 0), &other);
+    engine->started(first, 0, {"http://n/m/", {}});
+    engine->started(first, 0, {"http://n/m/", {}});
+    ASSERT_EQ(told.size(), 1u);
+    EXPECT_NE(told[0].find("started, though no attempt is out"), std::string::npos);
+    EXPECT_EQ(engine->counts().slips, 1u);
+    EXPECT_EQ(broken.heard, std::vector<Answer>{Answer::plays}) << "answered once";
+    EXPECT_EQ(gone, std::vector<SessionId>{first}) << "its client is told that it is over";
+    EXPECT_EQ(nodes.cancels, (std::vector<std::pair<SessionId, int>>{{first, 0}})) << "and so is its node";
+    EXPECT_FALSE(engine->knows(first));
+    engine->started(second, 0, {"http://n/m/", {}});
+    EXPECT_EQ(other.heard, std::vector<Answer>{Answer::plays});
+    EXPECT_EQ(engine->playing(), 1u);
+    EXPECT_EQ(ended.size(), 1u);
+}
+
 TEST_F(EngineTest, ManySessionsWithRandomEndingsAreEachAnsweredOnce) {
     std::mt19937_64 random(11);
     std::vector<std::unique_ptr<FakeWaiter>> waiters;
