Ends owed at the exit are waited for; a tested connection hears of an end where no other is

What callers could see: (1) a client ended its session while the node's connection was gone, and the director left before the next one came up: the node played on for nobody. (2) A session ended while no connection that ever carried a set-up was open: the release waited for the next set-up, with little traffic for longer than the 8 s of the protocol, though a connection that had passed a test was there.

Evidence: both new tests failed before (the process was done 330 ms after the client's word, with its node not told; no release within 4 s). Ruled out: the ends themselves are queued rightly in both cases.

Change: RelayNodes::drained() counts ends that a node has not heard; decide::tells_end_on() says on which connections an end may be told, a tested one after 2 s of waiting, never one on which nothing was said. over() and lost() contain a slip as the module's actions do.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -440,12 +440,12 @@
 void Engine::over(SessionId id, int attempt, Outcome outcome, const LoadReport& report) {
     const auto it = sessions_.find(id);
     if (it == sessions_.end() || it->second->attempt != attempt) return;  // timed out before: told already
-    attempt_over(*it->second, outcome, report, false);
+    contain_slips([&] { attempt_over(*it->second, outcome, report, false); });
 }
 void Engine::lost(SessionId id, int attempt, Outcome outcome) {
     const auto it = sessions_.find(id);
     if (it == sessions_.end() || it->second->attempt != attempt) return;  // given up before
-    attempt_over(*it->second, outcome, {}, !nodes_.cancel_is_final());
+    contain_slips([&] { attempt_over(*it->second, outcome, {}, !nodes_.cancel_is_final()); });
 }
 
 // The module counts the attempt on, before it hears that it is over for its session: in between the place
--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -59,6 +59,7 @@
     std::set<SessionId> open;      // set-ups owed an answer on it
     std::set<SessionId> standing;  // sessions that were set up on it and stand
     bool carried = false;          // a set-up that could be used has come on it
+    bool tested = false;           // it has passed a test
     bool ending = false;           // only drained and closed from here on
     bool distrusted = false;       // takes no set-up any more; closed when those open on it are answered
     bool unread = false;           // its viewer does not read what it is sent
@@ -240,6 +241,7 @@
 }
 
 void RelayFront::sweep() {
+    notify_waiting();
     std::vector<Connection*> old;
     for (const auto& c : connections_) {
         if (c->ending ? loop_.now() - c->ended > limits_.linger
@@ -364,6 +366,7 @@
             return take_release(c, m);
         case Type::ping: {
             counts_.tests += 1;
+            c.tested = true;
             ViewerMessage pong;
             pong.type = Type::pong, pong.id = m.id, pong.cause = relay::kCausePassed;
             return send(c, pong);
@@ -457,7 +460,7 @@
     if (first_set_up && !began_) first_set_up();
     began_ = true;
     c.carried = true;
-    if (!kept_.empty()) flush_kept(c);
+    if (!pending_notifications_.empty()) notify_pending(c);
     if (!at.empty()) {
         const auto server = node_named ? node_named(at) : std::nullopt;
         // It may name what we hold already.
@@ -536,34 +539,44 @@
         standing_.erase(it);
     }
     if (!owed) return;
-    if (!c || c->gone || c->ending) {
-        // Its own connection is gone: another of the viewers', the one heard last.
-        c = nullptr;
-        for (const auto& one : connections_)
-            if (one->carried && !one->ending && (!c || one->used > c->used)) c = one.get();
-    }
-    if (!c) {
-        if (kept_.size() >= limits_.kept_releases) kept_.pop_front();
-        kept_.emplace_back(id, moved);
-        return;
+    if (!c || c->gone || c->ending) c = connection_to_notify(0);
+    if (c) return notify(*c, id, moved);
+    if (pending_notifications_.size() >= limits_.pending_notifications) pending_notifications_.pop_front();
+    pending_notifications_.push_back({id, moved, loop_.now()});
+}
+
+// The one heard last of those on which an end may be told; those that carried a set-up first.
+RelayFront::Connection* RelayFront::connection_to_notify(io::Time waited) const {
+    Connection* best = nullptr;
+    for (const auto& c : connections_) {
+        if (c->ending || !decide::tells_end_on(c->carried, c->tested, waited)) continue;
+        if (!best || std::make_pair(c->carried, c->used) > std::make_pair(best->carried, best->used))
+            best = c.get();
     }
+    return best;
+}
+
+void RelayFront::notify(Connection& c, SessionId id, bool moved) {
     ViewerMessage m;
     m.type = moved ? Type::move : Type::release;
     m.id = relay::hex(id);
     if (!moved) m.cause = kOver;
     counts_.releases += 1;
-    while (!c->told.empty() && !decide::may_have_crossed(loop_.now() - c->told.front().when))
-        c->told.pop_front();
-    c->told.push_back({loop_.now(), id, moved});
-    send(*c, m);
-}
-void RelayFront::flush_kept(Connection& c) {
-    const auto kept = std::move(kept_);
-    kept_.clear();
-    for (const auto& [id, moved] : kept) {
-        standing_[id] = &c;
-        gone(id, true, moved);
-    }
+    while (!c.told.empty() && !decide::may_have_crossed(loop_.now() - c.told.front().when)) c.told.pop_front();
+    c.told.push_back({loop_.now(), id, moved});
+    send(c, m);
+}
+
+void RelayFront::notify_pending(Connection& c) {
+    const auto pending = std::move(pending_notifications_);
+    pending_notifications_.clear();
+    for (const PendingNotification& one : pending) notify(c, one.id, one.moved);
+}
+
+void RelayFront::notify_waiting() {
+    if (pending_notifications_.empty()) return;
+    const io::Time waited = loop_.now() - pending_notifications_.front().since;
+    if (Connection* c = connection_to_notify(waited)) notify_pending(*c);
 }
 
 }  // namespace ivyfield::fronts
--- a/src/fronts/relay/front.hpp
+++ b/src/fronts/relay/front.hpp
@@ -22,7 +22,7 @@
 struct RelayFrontLimits {
     decide::IntakeLimits intake{256, 256};
     std::size_t unread_output = 256 * 1024;  // of one connection
-    std::size_t kept_releases = 4096;        // that wait for a connection
+    std::size_t pending_notifications = 4096;  // that wait for a connection
     io::Time linger = 500;  // a closed connection is still read, so that its last word arrives
     io::Time idle = 10000;  // without a session
 };
@@ -124,7 +124,10 @@
     void drop(Connection& c, CloseReason reason);
     bool make_room();
     void sweep();
-    void flush_kept(Connection& c);
+    Connection* connection_to_notify(io::Time waited) const;
+    void notify(Connection& c, SessionId id, bool moved);
+    void notify_pending(Connection& c);
+    void notify_waiting();
 
     io::Loop& loop_;
     Settings settings_;
@@ -138,7 +141,12 @@
     std::list<std::unique_ptr<Connection>> connections_;  // oldest first
     std::map<SessionId, std::unique_ptr<Request>> requests_;
     std::map<SessionId, Connection*> standing_;  // the connection of its set-up, while that lasts; else null
-    std::deque<std::pair<SessionId, bool>> kept_;  // ended or moved, to be told on the next connection
+    struct PendingNotification {
+        SessionId id = 0;
+        bool moved = false;
+        io::Time since = 0;
+    };
+    std::deque<PendingNotification> pending_notifications_;  // for want of a connection
     std::vector<std::unique_ptr<Connection>> dead_;
     std::vector<std::unique_ptr<Request>> over_;
     bool burying_ = false;
--- a/src/nodes/relay/nodes.cpp
+++ b/src/nodes/relay/nodes.cpp
@@ -418,9 +418,11 @@
 }
 
 bool RelayNodes::drained() const {
-    for (const auto& [id, node] : nodes_)
+    for (const auto& [id, node] : nodes_) {
+        if (!node->owed.empty()) return false;
         for (const auto& c : node->connections)
             if (c->up && c->stream->pending() > 0) return false;
+    }
     return true;
 }
 
--- a/src/nodes/relay/nodes.hpp
+++ b/src/nodes/relay/nodes.hpp
@@ -60,7 +60,7 @@
     void probe(ServerId server) override;
     bool cancel_is_final() const override { return true; }
 
-    // All that is written has left.
+    // All that is written has left, and no node has yet to hear of an end.
     bool drained() const;
     // Nothing more is said; what is written still leaves.
     void end_all();
--- a/tests/decide/endings_test.cpp
+++ b/tests/decide/endings_test.cpp
@@ -21,5 +21,12 @@
     EXPECT_FALSE(may_have_crossed(51));
 }
 
+TEST(Endings, AnEndIsToldWhereSomebodyListens) {
+    EXPECT_TRUE(tells_end_on(true, false, 0));
+    EXPECT_FALSE(tells_end_on(false, true, 0)) << "a better connection may come";
+    EXPECT_TRUE(tells_end_on(false, true, 7000)) << "told within 8 s";
+    EXPECT_FALSE(tells_end_on(false, false, 60000));
+}
+
 }  // namespace
 }  // namespace ivyfield::decide
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -576,6 +576,50 @@
     EXPECT_EQ(rig.director->engine().counts().ends_crossing_answers, 1u) << "the first alone";
 }
 
+// Its node connection is gone and the next one comes up only after a while: the process stays until the node
+// has heard that the client has ended its session.
+TEST(Relay, ADirectorLeavesOnceItsNodesHaveHeardOfEveryEnd) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid", 2000));
+    rig.run(300);
+    ASSERT_EQ(v.of(Type::answer).size(), 1u);
+    bool done = false;
+    rig.director->stop([&] { done = true; });
+    rig.run(400);
+    rig.nodes[0]->listener->pause();
+    for (auto& link : rig.nodes[0]->links)
+        if (link.open) link.stream.reset();
+    rig.run(50);
+    v.say(release_line(1, 16));
+    rig.run(480);
+    EXPECT_FALSE(done) << "nothing is owed to clients, and a node has not heard of an end";
+    rig.nodes[0]->listener->resume();
+    rig.run(3000);
+    EXPECT_TRUE(done);
+    EXPECT_FALSE(rig.nodes[0]->of(Type::release).empty());
+}
+
+// A session ends while its client has no connection here that ever carried a set-up; one that has passed a test
+// is there. The client hears of it in time.
+TEST(Relay, AnEndIsToldOnATestedConnectionWhereNoOtherIsThere) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    v.say(setup_line(1, "paid", 2000));
+    rig.run(300);
+    ASSERT_EQ(v.of(Type::answer).size(), 1u);
+    v.stream->end();
+    Viewer& silent = rig.viewer();
+    Viewer& tested = rig.viewer();
+    tested.say(R"({"type":"ping","id":"00000000000000ff","fields":{},"cause":0})");
+    rig.run(100);
+    for (auto& link : rig.nodes[0]->links)
+        if (link.open) link.send(Type::release, 1, 16);
+    rig.run(4000);
+    EXPECT_EQ(tested.of(Type::release).size(), 1u);
+    EXPECT_TRUE(silent.heard.empty()) << "who says nothing is nobody to tell";
+}
+
 TEST(Relay, EachCloseOfAClientConnectionIsCountedOnceUnderItsReason) {
     Rig rig;
     rig.nodes[0]->react = [](auto&, const auto&) {};
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -219,6 +219,7 @@
     void wind_down() {
         winding_down_ = true;
         later(kLastTerm, [this] {
+            all_told_ = true;
             for (Seat& seat : seats_) {
                 seat.ready.stop();
                 if (seat.restarting || seat.down) continue;
@@ -231,6 +232,7 @@
         later(kLastTerm + 2 * kKillAfterTerm, [this] { loop_.stop(); });
     }
     void seat_over() {
+        if (!all_told_) return;
         for (const Seat& seat : seats_)
             if (seat.restarting) return;
         loop_.stop();
@@ -250,7 +252,7 @@
     io::Timer beat_;
     Time lateness_ = 0, worst_ = 0;
     int terms_ = 0, kills_ = 0;
-    bool winding_down_ = false;
+    bool winding_down_ = false, all_told_ = false;  // to leave, at the end
 };
 
 std::vector<std::uint64_t> seeds() {
