The end of a session told on another connection no longer overtakes its answer

Cause, by reading: when its own connection had ended, a session's end went to another connection at once; the client may read that before the answer and takes it for the answer, and the answer for a second one. With connections drained right behind their last answer this window is met more often; a connection evicted or closed behind an answer had it before.

Evidence: AnEndToldOnAnotherConnectionDoesNotOvertakeItsAnswer brings about that order on the virtual world and failed before (the release was there 1 ms after the connection's end).

Change: each established session remembers when it was answered; its end may go to another connection 50 ms later at the earliest (decide::may_follow_elsewhere), the time in which the protocol has things cross.

--- a/src/cli/relay.cpp
+++ b/src/cli/relay.cpp
@@ -80,9 +80,8 @@
         remark(log::Level::warning, "bad set-up", {{"why", why}, {"fields", m.fields}});
     };
     front_.on_closed = [this](const fronts::ClosedConnection& closed) {
-        json line = {{"connection", closed.number},
-                     {"reason", fronts::name(closed.reason)},
-                     {"open", closed.open}};
+        json line = {
+            {"connection", closed.number}, {"reason", fronts::name(closed.reason)}, {"open", closed.open}};
         if (closed.since_answer) line["since_answer_ms"] = *closed.since_answer;
         remark(log::Level::info, "client connection closed", line);
     };
@@ -200,8 +199,8 @@
 }
 void RelayProcess::stopping() {
     front_.end_drained_connections();
-    const decide::Unfinished left{engine_.owed(), !front_.drained() || !nodes_.drained(), front_.connections(),
-                                  front_.heard_at()};
+    const decide::Unfinished left{engine_.owed(), !front_.drained() || !nodes_.drained(),
+                                  front_.connections(), front_.heard_at()};
     if (!shutdown_->leaves(loop_.now(), left)) {
         stop_timer_ = loop_.after(kLookEvery, [this] { stopping(); });
         return;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -93,7 +93,7 @@
     const auto it = sessions_.find(id);
     if (it == sessions_.end())
         throw Slip(id, std::string("the module's ") + action + " names session " + std::to_string(id) +
-                   ", which is not open");
+                           ", which is not open");
     return *it->second;
 }
 
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -11,8 +11,9 @@
 // an id of its own (an adopted session that nobody waits for) until the node port says that it is released:
 // no seat, stream or link room is given twice on a guess.
 // A slip of our own (an action for a session that never was, a second attempt while one is out, an answer
-// twice, a paid set-up repeated without proof) throws Slip with the session's history. In service it fails that
-// session alone, which is counted and told with its history; built with IVYFIELD_CHECKS it reaches the caller.
+// twice, a paid set-up repeated without proof) throws Slip with the session's history. In service it fails
+// that session alone, which is counted and told with its history; built with IVYFIELD_CHECKS it reaches the
+// caller.
 #pragma once
 
 #include <deque>
--- a/src/decide/endings.cpp
+++ b/src/decide/endings.cpp
@@ -17,8 +17,12 @@
     return ended.told && !ended.hung_up && !ended.moved && ended.outcome != Outcome::cancelled;
 }
 
-bool tells_end_on(bool carried, bool tested, Time waited) { return carried || (tested && waited >= kOwnWait); }
+bool tells_end_on(bool carried, bool tested, Time waited) {
+    return carried || (tested && waited >= kOwnWait);
+}
 
 bool may_have_crossed(Time ago) { return ago <= kCrossing; }
 
+Time may_follow_elsewhere(Time answered) { return answered + kCrossing; }
+
 }  // namespace ivyfield::decide
--- a/src/decide/shutdown.cpp
+++ b/src/decide/shutdown.cpp
@@ -9,8 +9,8 @@
 // PROTOCOL, "Figures": the kill comes so long after the longest deadline, of which so much counts at most; a
 // request that came within this time of SIGTERM is to be answered.
 constexpr Time kAfterDeadline = 700, kDeadlineCounts = 3000;
-// PROTOCOL, "Viewers to directors": what crosses a close within this time is sent again. Answers that leave so
-// long before the kill arrive.
+// PROTOCOL, "Viewers to directors": what crosses a close within this time is sent again. Answers that leave
+// so long before the kill arrive.
 constexpr Time kCrossing = 50;
 // After the last word from clients: what crossed a close has been sent again by then, on a new connection.
 constexpr Time kQuiet = 2 * kCrossing;
--- a/src/decide/shutdown.hpp
+++ b/src/decide/shutdown.hpp
@@ -1,11 +1,11 @@
-// Graceful shutdown of a director (SIGTERM): until when it takes set-ups, by when it has answered what it took,
-// which client connections it ends, and when the process leaves. The figures are the platform's protocol's: the
-// kill comes no earlier than the longest deadline (at most 3 s of it) and 0.7 s later, and until 0.7 s requests
-// still come. No I/O, no clock.
+// Graceful shutdown of a director (SIGTERM): until when it takes set-ups, by when it has answered what it
+// took, which client connections it ends, and when the process leaves. The figures are the platform's
+// protocol's: the kill comes no earlier than the longest deadline (at most 3 s of it) and 0.7 s later, and
+// until 0.7 s requests still come. No I/O, no clock.
 //
-// A connection's end is not the process's end: each connection is ended once nothing is open on it, the listener
-// stays for requests that cross such an end and are sent again, and the process leaves when every connection is
-// closed by both sides and no more come. The hard deadline is the last resort.
+// A connection's end is not the process's end: each connection is ended once nothing is open on it, the
+// listener stays for requests that cross such an end and are sent again, and the process leaves when every
+// connection is closed by both sides and no more come. The hard deadline is the last resort.
 #pragma once
 
 #include <cstddef>
--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -65,15 +66,14 @@
     bool unread = false;           // its viewer does not read what it is sent
     struct Told {
         io::Time when;
-        SessionId id;
-        bool moved;
+        Notification end;
     };
     std::deque<Told> told;  // ends told on it a moment ago: they may have crossed its close
     bool gone = false;
     bool accounted = false;  // the reason of its close has been counted
     std::uint64_t number = 0;
     std::optional<io::Time> answered;  // when the last answer was written on it
-    bool requested = false;  // a message has come on it
+    bool requested = false;            // a message has come on it
     io::Time accepted = 0, used = 0, ended = 0;
 
     explicit Connection(RelayFront& o) : owner(o) {}
@@ -97,7 +97,7 @@
         m.type = Type::answer, m.id = id, m.sdp = where.media.description;
         Connection* c = connection;
         owner.answered(session);
-        owner.standing_[session] = c;
+        owner.standing_[session] = {c, owner.loop_.now()};
         c->standing.insert(session);
         c->answered = owner.loop_.now();
         owner.send(*c, m);
@@ -166,8 +166,8 @@
     return true;
 }
 
-// A request that has arrived is taken first; the connection stays then. What was written still leaves: a stream
-// that has been ended is not reset when it is destroyed.
+// A request that has arrived is taken first; the connection stays then. What was written still leaves: a
+// stream that has been ended is not reset when it is destroyed.
 void RelayFront::evict(Connection& c) {
     c.stream->receive_arrived();
     if (c.gone || !c.open.empty()) return;
@@ -197,7 +197,7 @@
     account_for_close(c, reason);
     c.gone = true;
     for (const SessionId id : c.standing)
-        if (const auto it = standing_.find(id); it != standing_.end()) it->second = nullptr;
+        if (const auto it = standing_.find(id); it != standing_.end()) it->second.connection = nullptr;
     const auto it = std::find_if(connections_.begin(), connections_.end(),
                                  [&](const auto& one) { return one.get() == &c; });
     // Its descriptor is free at once: in a burst of connections those that give way are not to hold theirs
@@ -207,7 +207,7 @@
     dead_.push_back(std::move(*it));
     connections_.erase(it);
     for (const auto& one : told)
-        if (decide::may_have_crossed(loop_.now() - one.when)) gone(one.id, true, one.moved);
+        if (decide::may_have_crossed(loop_.now() - one.when)) notify_elsewhere(one.end);
     if (burying_) return;
     burying_ = true;
     loop_.post([this] {
@@ -241,7 +241,7 @@
 }
 
 void RelayFront::sweep() {
-    notify_waiting();
+    notify_pending();
     std::vector<Connection*> old;
     for (const auto& c : connections_) {
         if (c->ending ? loop_.now() - c->ended > limits_.linger
@@ -460,7 +460,7 @@
     if (first_set_up && !began_) first_set_up();
     began_ = true;
     c.carried = true;
-    if (!pending_notifications_.empty()) notify_pending(c);
+    notify_pending();
     if (!at.empty()) {
         const auto server = node_named ? node_named(at) : std::nullopt;
         // It may name what we hold already.
@@ -470,7 +470,7 @@
             return release(c, m.id, kUnusable);
         }
         counts_.adopted += 1;
-        standing_[m.session] = &c;
+        standing_[m.session] = {&c, std::numeric_limits<io::Time>::lowest()};
         c.standing.insert(m.session);
         adopt(ask, *server);
         return;
@@ -517,7 +517,7 @@
     if (engine_.hang_up(m.session)) {
         counts_.hung_up += 1;
         if (const auto it = standing_.find(m.session); it != standing_.end()) {
-            if (it->second) it->second->standing.erase(m.session);
+            if (Connection* own = it->second.connection) own->standing.erase(m.session);
             standing_.erase(it);
         }
         return send(c, heard);
@@ -532,17 +532,17 @@
 // ---- What ends ----
 
 void RelayFront::gone(SessionId id, bool owed, bool moved) {
-    Connection* c = nullptr;
+    Established session{nullptr, std::numeric_limits<io::Time>::lowest()};
     if (const auto it = standing_.find(id); it != standing_.end()) {
-        c = it->second;
-        if (c) c->standing.erase(id);
+        session = it->second;
+        if (session.connection) session.connection->standing.erase(id);
         standing_.erase(it);
     }
     if (!owed) return;
-    if (!c || c->gone || c->ending) c = connection_to_notify(0);
-    if (c) return notify(*c, id, moved);
-    if (pending_notifications_.size() >= limits_.pending_notifications) pending_notifications_.pop_front();
-    pending_notifications_.push_back({id, moved, loop_.now()});
+    const Notification end{id, moved, loop_.now(), session.answered};
+    Connection* own = session.connection;
+    if (own && !own->gone && !own->ending) return notify(*own, end);
+    notify_elsewhere(end);
 }
 
 // The one heard last of those on which an end may be told; those that carried a set-up first.
@@ -556,27 +556,40 @@
     return best;
 }
 
-void RelayFront::notify(Connection& c, SessionId id, bool moved) {
+void RelayFront::notify(Connection& c, const Notification& end) {
     ViewerMessage m;
-    m.type = moved ? Type::move : Type::release;
-    m.id = relay::hex(id);
-    if (!moved) m.cause = kOver;
+    m.type = end.moved ? Type::move : Type::release;
+    m.id = relay::hex(end.id);
+    if (!end.moved) m.cause = kOver;
     counts_.releases += 1;
-    while (!c.told.empty() && !decide::may_have_crossed(loop_.now() - c.told.front().when)) c.told.pop_front();
-    c.told.push_back({loop_.now(), id, moved});
+    while (!c.told.empty() && !decide::may_have_crossed(loop_.now() - c.told.front().when))
+        c.told.pop_front();
+    c.told.push_back({loop_.now(), end});
     send(c, m);
 }
 
-void RelayFront::notify_pending(Connection& c) {
-    const auto pending = std::move(pending_notifications_);
-    pending_notifications_.clear();
-    for (const PendingNotification& one : pending) notify(c, one.id, one.moved);
+void RelayFront::notify_elsewhere(const Notification& end) {
+    if (pending_notifications_.size() >= limits_.pending_notifications) pending_notifications_.pop_front();
+    pending_notifications_.push_back(end);
+    notify_pending();
 }
 
-void RelayFront::notify_waiting() {
+void RelayFront::notify_pending() {
     if (pending_notifications_.empty()) return;
-    const io::Time waited = loop_.now() - pending_notifications_.front().since;
-    if (Connection* c = connection_to_notify(waited)) notify_pending(*c);
+    const auto pending = std::move(pending_notifications_);
+    pending_notifications_.clear();
+    io::Time next = std::numeric_limits<io::Time>::infinity();
+    for (const Notification& end : pending) {
+        const io::Time earliest = decide::may_follow_elsewhere(end.answered);
+        if (earliest > loop_.now()) {
+            next = std::min(next, earliest);
+        } else if (Connection* c = connection_to_notify(loop_.now() - end.since)) {
+            notify(*c, end);
+            continue;
+        }
+        pending_notifications_.push_back(end);
+    }
+    if (std::isfinite(next)) notification_timer_ = loop_.at(next, [this] { notify_pending(); });
 }
 
 }  // namespace ivyfield::fronts
--- a/src/fronts/relay/front.hpp
+++ b/src/fronts/relay/front.hpp
@@ -21,7 +21,7 @@
 
 struct RelayFrontLimits {
     decide::IntakeLimits intake{256, 256};
-    std::size_t unread_output = 256 * 1024;  // of one connection
+    std::size_t unread_output = 256 * 1024;    // of one connection
     std::size_t pending_notifications = 4096;  // that wait for a connection
     io::Time linger = 500;  // a closed connection is still read, so that its last word arrives
     io::Time idle = 10000;  // without a session
@@ -53,9 +53,8 @@
 
 struct RelayFrontCounts {
     std::array<std::uint64_t, kCloseReasons> closed{};  // by reason
-    std::uint64_t connections = 0, set_ups = 0, unreadable = 0, bad = 0, repeated = 0, gave_up = 0,
-                  tests = 0, adopted = 0, hung_up = 0, releases = 0, unknown_releases = 0,
-                  shed = 0, turned_away = 0;
+    std::uint64_t connections = 0, set_ups = 0, unreadable = 0, bad = 0, repeated = 0, gave_up = 0, tests = 0,
+                  adopted = 0, hung_up = 0, releases = 0, unknown_releases = 0, shed = 0, turned_away = 0;
 };
 
 struct RelayNames {
@@ -103,6 +102,12 @@
   private:
     struct Connection;
     struct Request;
+    // The end of a session, for its client.
+    struct Notification {
+        SessionId id = 0;
+        bool moved = false;
+        io::Time since = 0, answered = 0;
+    };
 
     void accepted(std::unique_ptr<io::Stream> stream);
     void heard(Connection& c, std::string_view bytes);
@@ -125,9 +130,9 @@
     bool make_room();
     void sweep();
     Connection* connection_to_notify(io::Time waited) const;
-    void notify(Connection& c, SessionId id, bool moved);
-    void notify_pending(Connection& c);
-    void notify_waiting();
+    void notify(Connection& c, const Notification& end);
+    void notify_elsewhere(const Notification& end);
+    void notify_pending();
 
     io::Loop& loop_;
     Settings settings_;
@@ -137,16 +142,17 @@
     bool began_ = false;
     io::Time heard_at_ = 0;
     std::optional<decide::Shutdown> shutdown_;
-    bool ending_drained_ = false;  // end_drained_connections() is posted
+    bool ending_drained_ = false;                         // end_drained_connections() is posted
     std::list<std::unique_ptr<Connection>> connections_;  // oldest first
     std::map<SessionId, std::unique_ptr<Request>> requests_;
-    std::map<SessionId, Connection*> standing_;  // the connection of its set-up, while that lasts; else null
-    struct PendingNotification {
-        SessionId id = 0;
-        bool moved = false;
-        io::Time since = 0;
+    struct Established {
+        Connection* connection = nullptr;  // that of its set-up, while it lasts
+        io::Time answered = 0;             // by us; lowest for one that was handed over
     };
-    std::deque<PendingNotification> pending_notifications_;  // for want of a connection
+    std::map<SessionId, Established> standing_;
+    std::deque<Notification>
+        pending_notifications_;  // for want of a connection, or not to overtake an answer
+    io::Timer notification_timer_;
     std::vector<std::unique_ptr<Connection>> dead_;
     std::vector<std::unique_ptr<Request>> over_;
     bool burying_ = false;
--- a/tests/decide/endings_test.cpp
+++ b/tests/decide/endings_test.cpp
@@ -21,6 +21,11 @@
     EXPECT_FALSE(may_have_crossed(51));
 }
 
+TEST(Endings, AnEndDoesNotOvertakeItsAnswer) {
+    EXPECT_EQ(may_follow_elsewhere(1000), 1050);
+    EXPECT_FALSE(may_have_crossed(may_follow_elsewhere(1000) + 1 - 1000));
+}
+
 TEST(Endings, AnEndIsToldWhereSomebodyListens) {
     EXPECT_TRUE(tells_end_on(true, false, 0));
     EXPECT_FALSE(tells_end_on(false, true, 0)) << "a better connection may come";
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -600,8 +600,8 @@
     EXPECT_FALSE(rig.nodes[0]->of(Type::release).empty());
 }
 
-// A session ends while its client has no connection here that ever carried a set-up; one that has passed a test
-// is there. The client hears of it in time.
+// A session ends while its client has no connection here that ever carried a set-up; one that has passed a
+// test is there. The client hears of it in time.
 TEST(Relay, AnEndIsToldOnATestedConnectionWhereNoOtherIsThere) {
     Rig rig;
     Viewer& v = rig.viewer();
@@ -620,6 +620,36 @@
     EXPECT_TRUE(silent.heard.empty()) << "who says nothing is nobody to tell";
 }
 
+// Its own connection was ended behind the answer, the end is told on another: read first, it would be taken
+// for the answer, and the answer for a second one.
+TEST(Relay, AnEndToldOnAnotherConnectionDoesNotOvertakeItsAnswer) {
+    Rig rig;
+    Viewer& own = rig.viewer();
+    Viewer& other = rig.viewer();
+    rig.nodes[0]->react = [](auto& link, const auto& m) {
+        if (m.type == Type::ping) link.send(Type::pong, m.session, 1);
+    };
+    own.say(setup_line(1, "paid", 3000));
+    other.say(setup_line(2, "paid", 3000));
+    rig.run(100);
+    rig.director->stop([] {});
+    rig.run(900);
+    const auto tell = [&](Type type, int cause, std::map<int, std::string> with) {
+        for (auto& link : rig.nodes[0]->links)
+            if (link.open) link.send(type, 1, cause, with);
+    };
+    tell(Type::answer, -1, {{63, "x"}});
+    rig.run(10);
+    ASSERT_EQ(own.of(Type::answer).size(), 1u);
+    ASSERT_FALSE(own.open) << "drained";
+    tell(Type::release, 16, {});
+    rig.run(30);
+    EXPECT_TRUE(other.heard.empty()) << "the answer may still be on its way";
+    rig.run(100);
+    ASSERT_EQ(other.heard.size(), 1u);
+    EXPECT_EQ(other.heard[0].session, 1u);
+}
+
 TEST(Relay, EachCloseOfAClientConnectionIsCountedOnceUnderItsReason) {
     Rig rig;
     rig.nodes[0]->react = [](auto&, const auto&) {};
--- a/tests/soak/client.hpp
+++ b/tests/soak/client.hpp
@@ -17,7 +17,7 @@
 
 struct ClientSettings {
     int connections = 6;
-    Time least_gap = 2, most_gap = 30;           // between two set-ups of one connection
+    Time least_gap = 2, most_gap = 30;  // between two set-ups of one connection
     Time least_patience = 300, most_patience = 2500;
     double paid = 0.5, cancels = 0.05, hangs_up = 0.2;
 };
@@ -59,6 +59,7 @@
         std::unique_ptr<io::Stream> stream;
         relay::LineDecoder decoder;
         std::set<RequestId> pending;
+        std::uint64_t number = 0;
         std::string first_line;  // of a request sent again, to be written when the connection is there
         bool up = false;
         io::Timer next;
@@ -88,6 +89,7 @@
         links_.remove_if([](const auto& link) { return !link->stream; });
         links_.push_back(std::make_shared<Link>(*this));
         Link& link = *links_.back();
+        link.number = ++dialled_;
         link.first_line = first_line;
         link.stream = loop_.dial(director_.address(), kDialTimeout, &link);
         return link;
@@ -153,6 +155,11 @@
         if (!message) return ledger_.fault("a client received what can't be read: " + text);
         Request* request = ledger_.find(message->session);
         if (message->type == relay::Type::released || message->type == relay::Type::pong) return;
+        ledger_.word(message->session,
+                     std::string(relay::name(message->type)) + " " +
+                         std::to_string(message->cause.value_or(0)) + " on connection " +
+                         std::to_string(link.number),
+                     loop_.now());
         if (!request) return ledger_.fault("a client received a word on what it never asked: " + text);
         const bool open = request->reply == Reply::none;
         if (message->type == relay::Type::answer) {
@@ -180,10 +187,10 @@
         loop_.post([keep = std::shared_ptr<io::Stream>(std::move(link.stream))] {});
         const auto pending = std::move(link.pending);
         link.pending.clear();
-        for (const RequestId id : pending) judge_close(id);
+        for (const RequestId id : pending) judge_close(link, id);
         loop_.post([this] { fill(); });
     }
-    void judge_close(RequestId id) {
+    void judge_close(const Link& link, RequestId id) {
         Request& request = *ledger_.find(id);
         if (request.cancelled || request.reply != Reply::none) return;
         if (director_.killed() && request.incarnation == director_.incarnation()) {
@@ -193,9 +200,11 @@
         const Time ago = loop_.now() - request.sent;
         if (request.resent) return ledger_.lost(request, "sent again and closed again", loop_.now());
         if (ago > kCloseCrossing + lateness_())
-            return ledger_.lost(request, "its connection closed unanswered after " + std::to_string(ago) + " ms",
+            return ledger_.lost(request,
+                                "its connection closed unanswered after " + std::to_string(ago) + " ms",
                                 loop_.now());
         request.resent = true;
+        ledger_.word(id, "connection " + std::to_string(link.number) + " closed, sent again", loop_.now());
         request.sent = loop_.now();
         dial(line_of(request)).pending.insert(id);
     }
@@ -216,6 +225,7 @@
     std::function<Time()> lateness_;
     std::list<std::shared_ptr<Link>> links_;
     std::list<io::Timer> timers_;
+    std::uint64_t dialled_ = 0;
     bool taking_ = false, sending_ = false;
 };
 
--- a/tests/soak/director.hpp
+++ b/tests/soak/director.hpp
@@ -1,5 +1,5 @@
-// One director as the platform runs it: a process of its own, signalled, killed at its deadline, started again
-// under the same name and address.
+// One director as the platform runs it: a process of its own, signalled, killed at its deadline, started
+// again under the same name and address.
 #pragma once
 
 #include <signal.h>
@@ -13,13 +13,18 @@
 
 namespace ivyfield::soak {
 
-// The platform's kill comes no earlier than this after SIGTERM: the longest deadline, of which 3 s count, and 0.7 s.
+// The platform's kill comes no earlier than this after SIGTERM: the longest deadline, of which 3 s count, and
+// 0.7 s.
 constexpr Time kKillAfterTerm = 3000 + 700;
 
 class DirectorProcess {
   public:
     DirectorProcess(io::Loop& loop, int index, std::string folder, io::Address address, Ledger& ledger)
-        : loop_(loop), index_(index), folder_(std::move(folder)), address_(std::move(address)), ledger_(ledger) {}
+        : loop_(loop),
+          index_(index),
+          folder_(std::move(folder)),
+          address_(std::move(address)),
+          ledger_(ledger) {}
 
     const io::Address& address() const { return address_; }
     int index() const { return index_; }
@@ -66,7 +71,8 @@
         if (!killed_ && child_ && child_->exit_code() != 0)
             ledger_.fault("crash: director " + std::to_string(index_) + " ended with code " +
                           std::to_string(child_->exit_code()));
-        if (!killed_ && !term_at_) ledger_.fault("crash: director " + std::to_string(index_) + " ended unasked");
+        if (!killed_ && !term_at_)
+            ledger_.fault("crash: director " + std::to_string(index_) + " ended unasked");
         return true;
     }
 
--- a/tests/soak/ledger.hpp
+++ b/tests/soak/ledger.hpp
@@ -1,5 +1,6 @@
-// What clients asked and heard, what media nodes received, and the verdict on it: the judge of a soak. It knows
-// the platform's protocol and nothing of the director's code. Times are milliseconds on the harness's clock.
+// What clients asked and heard, what media nodes received, and the verdict on it: the judge of a soak. It
+// knows the platform's protocol and nothing of the director's code. Times are milliseconds on the harness's
+// clock.
 #pragma once
 
 #include <cstdint>
@@ -43,7 +44,8 @@
     bool hung_up = false;
     std::optional<Time> terminated;  // a media node ended the session, and its client is owed the word
     std::optional<Time> notified;
-    std::optional<Time> over;  // when the process that took it ended
+    std::optional<Time> over;        // when the process that took it ended
+    std::vector<std::string> words;  // what was said on it, with times since it was sent
 };
 
 enum class AttemptEnd { open, answered, proved_unrun, unknown };
@@ -63,14 +65,19 @@
         const auto it = requests_.find(id);
         return it == requests_.end() ? nullptr : &it->second;
     }
+    void word(RequestId id, const std::string& what, Time now) {
+        Request* request = find(id);
+        if (request) request->words.push_back("+" + std::to_string(now - request->sent) + " " + what);
+    }
     void fault(const std::string& what) { faults_.push_back(what); }
     void lost(const Request& request, const std::string& why, Time now) {
         if (request.excused || !reported_.insert(request.id).second) return;
         std::ostringstream text;
         text << std::fixed << std::setprecision(1);
         text << "lost: request " << std::hex << request.id << std::dec << " of director " << request.director
-             << " (incarnation " << request.incarnation << "), sent at " << request.sent << ", " << why << " at "
-             << now;
+             << " (incarnation " << request.incarnation << "), sent at " << request.sent << ", " << why
+             << " at " << now;
+        for (const std::string& word : request.words) text << "; " << word;
         faults_.push_back(text.str());
     }
 
--- a/tests/soak/media_node.hpp
+++ b/tests/soak/media_node.hpp
@@ -30,8 +30,8 @@
     MediaNode(io::Loop& loop, std::string name, int directors, std::uint64_t seed, Ledger& ledger)
         : loop_(loop), name_(std::move(name)), random_(seed), ledger_(ledger) {
         for (int k = 0; k < directors; ++k)
-            listeners_.push_back(loop.listen(
-                {"127.0.0.1", 0}, [this, k](auto stream) { accepted(std::move(stream), k); }));
+            listeners_.push_back(
+                loop.listen({"127.0.0.1", 0}, [this, k](auto stream) { accepted(std::move(stream), k); }));
     }
 
     io::Address address(int director) const { return listeners_.at(director)->address(); }
@@ -202,10 +202,11 @@
         session.director = link->director;
         if (life < b.ends_at_once) return end(id, relay::kCauseGivenUp);
         const bool leaves = life < b.ends_at_once + b.client_leaves_soon;
-        session.life = loop_.after(leaves ? between(0, 3) : between(b.least_life, b.most_life), [this, id, leaves] {
-            const int cause = leaves ? relay::kCauseCancelled : relay::kCauseGivenUp;
-            when_awake([this, id, cause] { end(id, cause); });
-        });
+        session.life =
+            loop_.after(leaves ? between(0, 3) : between(b.least_life, b.most_life), [this, id, leaves] {
+                const int cause = leaves ? relay::kCauseCancelled : relay::kCauseGivenUp;
+                when_awake([this, id, cause] { end(id, cause); });
+            });
     }
     void turn_away(Link& link, RequestId id, int cause, AttemptEnd how) {
         link.open.erase(id);
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -1,6 +1,6 @@
-// A soak of real director processes on loopback: clients that use open connections to the end, media nodes that
-// misbehave, and signals in series, drawn from a seed. What the processes do in time is not repeatable to the
-// millisecond; what is asked of them is.
+// A soak of real director processes on loopback: clients that use open connections to the end, media nodes
+// that misbehave, and signals in series, drawn from a seed. What the processes do in time is not repeatable
+// to the millisecond; what is asked of them is.
 //
 // By hand:  IVYFIELD_SOAK_SEEDS=100-149 soak_tests
 #include <gtest/gtest.h>
@@ -37,9 +37,9 @@
             Seat& seat = seats_.back();
             for (const auto& node : nodes_) seat.listed.push_back({node->name(), node->address(k)});
             for (int n = 0; n < 2; ++n)
-                seat.names.push_back(std::make_unique<relaytest::NameServer>(loop_, free_address(), 3, seat.listed));
-            seat.director = std::make_unique<DirectorProcess>(
-                loop_, k, folder_, free_address(), ledger_);
+                seat.names.push_back(
+                    std::make_unique<relaytest::NameServer>(loop_, free_address(), 3, seat.listed));
+            seat.director = std::make_unique<DirectorProcess>(loop_, k, folder_, free_address(), ledger_);
             ClientSettings settings;
             if (scenario.crowd && k == 0) settings.connections = 40;
             seat.clients = std::make_unique<ClientPool>(loop_, *seat.director, random_(), ledger_, settings,
@@ -65,8 +65,8 @@
         text << "seed " << scenario_.seed << (scenario_.crowd ? " (crowd)" : "") << ": " << ledger_.requests()
              << " requests, " << ledger_.count(Reply::established) << " established, "
              << ledger_.count(Reply::rejected) << " rejected, " << ledger_.count(Reply::failed) << " failed, "
-             << ledger_.resent() << " sent again, " << terms_ << " SIGTERM, " << kills_ << " killed, latest beat "
-             << worst_ << " ms, " << ledger_.faults().size() << " faults";
+             << ledger_.resent() << " sent again, " << terms_ << " SIGTERM, " << kills_
+             << " killed, latest beat " << worst_ << " ms, " << ledger_.faults().size() << " faults";
         return text.str();
     }
 
@@ -190,9 +190,10 @@
         if (drawn < 0.7) stall(seat);
         terminate(seat);
         if (drawn < 0.8) director.term();
-        if (drawn > 0.9) later(between(0, 900), [at = &seat] {
-            if (at->director->running()) at->director->term();
-        });
+        if (drawn > 0.9)
+            later(between(0, 900), [at = &seat] {
+                if (at->director->running()) at->director->term();
+            });
     }
     void stall(Seat& seat) {
         seat.director->stall(true);
