ivyfield serve answers what it took before SIGTERM ends it

What callers saw: SIGTERM stopped the loop of ivyfield serve at once. With 20 requests written to it just before, none was answered (0 of 20, exit code 0).

Cause: the signal called loop.stop(); http::Server::drain() existed and nobody called it, and it closed the listener first.

Change: DirectorProcess::stop() drains the connections, takes new ones for 250 ms, leaves when nothing is owed and no connection is left, at the latest after the longest patience. drain() no longer closes the listener; stop_listening() does.

--- a/src/cli/director.cpp
+++ b/src/cli/director.cpp
@@ -1,5 +1,7 @@
 #include "cli/director.hpp"
 
+#include <algorithm>
+
 #include "cli/session_line.hpp"
 
 namespace ivyfield::cli {
@@ -8,6 +10,13 @@
 
 namespace {
 
+// After SIGTERM new connections are taken for so long: what watches the director needs a moment to see it
+// leave.
+constexpr io::Time kTakeFor = 250;
+constexpr io::Time kLookEvery = 20;
+// Answers that are written so long before the last moment still leave.
+constexpr io::Time kLastAnswers = 100;
+
 log::Level level_of(const std::string& name) {
     if (name == "debug") return log::Level::debug;
     if (name == "warning") return log::Level::warning;
@@ -94,6 +103,30 @@
     log_.write(log::Level::info, loop_.wall_ms(), "session", line);
 }
 
+void DirectorProcess::stop(std::function<void()> done) {
+    if (done_) return;
+    done_ = std::move(done);
+    io::Time longest = 0;
+    for (const ClassSettings& cls : config_.settings.classes) longest = std::max(longest, cls.patience);
+    stop_listening_at_ = loop_.now() + kTakeFor;
+    leave_at_ = stop_listening_at_ + longest + config_.settings.answer_slack + kLastAnswers;
+    front_.drain();
+    log_.write(log::Level::info, loop_.wall_ms(), "stopping", {{"owed", engine_.owed()}});
+    stopping();
+}
+
+void DirectorProcess::stopping() {
+    const bool takes = loop_.now() < stop_listening_at_;
+    if (!takes) front_.stop_listening();
+    const bool idle = engine_.owed() == 0 && front_.connections() == 0;
+    if ((takes || !idle) && loop_.now() < leave_at_) {
+        stop_timer_ = loop_.after(kLookEvery, [this] { stopping(); });
+        return;
+    }
+    log_.write(log::Level::info, loop_.wall_ms(), "stopped", {{"owed", engine_.owed()}});
+    loop_.post([this] { done_(); });
+}
+
 std::string DirectorProcess::status() const {
     const core::Counts& c = engine_.counts();
     const fronts::FrontCounts& f = front_.counts();
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -33,7 +33,8 @@
     const std::uint64_t seed = loaded.config.seed.value_or(io::system_seed());
     io::EvLoop loop(seed);
     cli::DirectorProcess director(loop, loaded.config, seed);
-    for (const int number : {SIGINT, SIGTERM}) loop.on_signal(number, [&] { loop.stop(); });
+    for (const int number : {SIGINT, SIGTERM})
+        loop.on_signal(number, [&] { director.stop([&] { loop.stop(); }); });
     loop.run();
     return 0;
 }
--- a/src/fronts/http/front.hpp
+++ b/src/fronts/http/front.hpp
@@ -30,6 +30,10 @@
     HttpFront(io::Loop& loop, const config::Config& config, core::Engine& engine);
     ~HttpFront();
     io::Address address() const { return server_.address(); }
+    // Graceful shutdown, see http::Server.
+    void drain() { server_.drain(); }
+    void stop_listening() { server_.stop_listening(); }
+    std::size_t connections() const { return server_.open(); }
     const FrontCounts& counts() const { return counts_; }
     const http::ServerCounts& http_counts() const { return server_.counts(); }
     std::function<std::string()> status;  // the body of /v1/status
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -328,7 +328,6 @@
 }
 void Server::drain() {
     draining_ = true;
-    stop_listening();
     for (auto& [id, connection] : connections_) connection->drain();
 }
 void Server::freeze() {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -91,7 +91,8 @@
     std::size_t open() const { return connections_.size(); }
     const ServerCounts& counts() const { return counts_; }
     void stop_listening() { listener_.reset(); }
-    // Ends connections that owe nothing, and each other one after its last answer.
+    // Ends connections that owe nothing, and each other one after its last answer. New ones are still taken,
+    // so that what the system has accepted is answered; stop_listening() ends that.
     void drain();
     // For stand-ins that stand still: nothing is accepted or read until resume.
     void freeze();
--- a/tests/fronts/front_test.cpp
+++ b/tests/fronts/front_test.cpp
@@ -132,6 +132,31 @@
     }
 };
 
+// A request under way, one on a connection that comes a moment later, and a connection that rests.
+TEST_F(PathTest, ADirectorToldToStopAnswersWhatItTookAndWhatStillComes) {
+    const auto rests = ask("prep", "sid=\"rests\"");
+    run(300);
+    ASSERT_EQ(rests->result.response.status, 200);
+    const auto under_way = ask("check", "sid=\"a\"");
+    run(2);
+    ASSERT_EQ(under_way->answers, 0);
+    bool done = false;
+    director->stop([&] { done = true; });
+    director->stop([&] { ADD_FAILURE() << "told twice"; });
+    const auto late = ask("prep", "sid=\"b\"");
+    run(100);
+    EXPECT_FALSE(done);
+    run(1000);
+    for (const auto* asked : {under_way.get(), late.get()}) {
+        EXPECT_EQ(asked->result.end, http::CallEnd::response);
+        EXPECT_EQ(asked->result.response.status, 200) << asked->result.response.body;
+    }
+    EXPECT_TRUE(done);
+    const auto after = ask("prep", "sid=\"c\"");
+    run(300);
+    EXPECT_EQ(after->result.end, http::CallEnd::not_connected) << "nobody listens any more";
+}
+
 TEST_F(PathTest, PlaysWithAPlaylistAtTheNodeAndHints) {
     const auto a = ask("prep", "sid=\"a\",sf=h,su");
     run(300);
