--- a/tests/discovery/srv_heap_test.cpp
+++ b/tests/discovery/srv_heap_test.cpp
@@ -8,7 +8,7 @@
 #include "tests/relay/rig.hpp"
 
 namespace {
-std::atomic<std::size_t> largest{0}, taken{0};
+std::atomic<std::size_t> largest{0}, taken{0}, calls{0};
 }
 
 // Under a sanitizer the allocator is its own; the plain build looks.
@@ -17,6 +17,7 @@
 extern "C" void* malloc(std::size_t size) {
     if (size > largest) largest = size;
     taken += size;
+    calls += 1;
     return __libc_malloc(size);
 }
 constexpr bool kCounts = true;
@@ -46,5 +47,34 @@
     EXPECT_LE(largest, 16u * 1024u);
 }
 
+// A client's answer waits while the list is read, four times a second at each director.
+TEST(SrvHeap, AnAnswerThatBringsNothingNewIsNotParsedAgain) {
+    std::vector<Listed> nodes;
+    for (int k = 0; k < 36; ++k) nodes.push_back({"s-" + std::to_string(k), {"127.0.0.1", 9001}});
+    std::string answer = dns_answer(discovery::srv_query("_api._tcp.svc.local", 7), 9, nodes);
+    io::World world(3);
+    io::VirtualLoop& names = world.start("names");
+    std::size_t answers = 0;
+    std::unique_ptr<io::Datagram> server;
+    server = names.datagram({"127.0.0.1", 5300}, [&](const io::Address& from, std::string_view query) {
+        answer[0] = query[0], answer[1] = query[1];
+        answers += 1;
+        server->send(from, answer);
+    });
+    std::size_t whole = 0;
+    discovery::SrvList list(world.start("director"), {"127.0.0.1", 5300}, "_api._tcp.svc.local", 3,
+                            [&](const auto&, bool) { whole += 1; });
+    world.run_until(world.now() + 400);
+    ASSERT_GE(whole, 1u);
+    const std::size_t before = answers;
+    calls = 0;
+    world.run_until(world.now() + 2500);
+    const std::size_t more = answers - before;
+    EXPECT_GE(more, 5u);
+    EXPECT_GE(whole, more) << "each of them says that the list holds still";
+    if (!kCounts) GTEST_SKIP() << "the allocator is the sanitizer's";
+    EXPECT_LT(calls / more, nodes.size()) << "less than one for each node";
+}
+
 }  // namespace
 }  // namespace ivyfield::relaytest
--- a/tests/io/io_test.cpp
+++ b/tests/io/io_test.cpp
@@ -200,6 +200,39 @@
     }
 }
 
+TEST(Sockets, StreamsAreReadBeforeDatagramsThatCameWithThem) {
+    for (const bool datagram_first : {true, false}) {
+        EvLoop loop(1);
+        std::string order;
+        struct Reader : StreamHandler {
+            std::string& order;
+            std::unique_ptr<Stream> stream;
+            explicit Reader(std::string& o) : order(o) {}
+            void on_data(std::string_view) override { order += "s"; }
+            void on_end() override {}
+            void on_closed(Closing) override {}
+        };
+        Reader accepted(order), dialled(order);
+        const auto listener = loop.listen({"127.0.0.1", 0}, [&](std::unique_ptr<Stream> stream) {
+            accepted.stream = std::move(stream);
+            accepted.stream->set_handler(&accepted);
+        });
+        const auto receiver =
+            loop.datagram({"127.0.0.1", 0}, [&](const Address&, std::string_view) { order += "d"; });
+        const auto sender = loop.datagram({"127.0.0.1", 0}, [](const Address&, std::string_view) {});
+        dialled.stream = loop.dial(listener->address(), 1000, &dialled);
+        Timer say = loop.after(50, [&] {
+            const auto datagram = [&] { sender->send(receiver->address(), "list"); };
+            if (datagram_first) datagram();
+            accepted.stream->write("answer");
+            if (!datagram_first) datagram();
+        });
+        Timer stop = loop.after(150, [&] { loop.stop(); });
+        loop.run();
+        EXPECT_EQ(order, "sd") << (datagram_first ? "datagram sent first" : "stream written first");
+    }
+}
+
 TEST(Virtual, SameSeedSameBytesAtTheSameTimes) {
     const auto play = [](std::uint64_t seed) {
         World world(seed);
