Of what is ready in one turn, media nodes' answers are read first and datagrams last

Cause: libev calls the watchers of one priority in an order that says nothing of their worth (the last found first). Ruled out: starvation; all that is ready in a turn is still handled in it.

Change: three priorities: dialled connections (they finish what was begun), accepted ones, datagrams; timers stay last.

--- a/src/io/ev/ev_loop.cpp
+++ b/src/io/ev/ev_loop.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t kReadATurn = 64 * 1024;
 // After running out of descriptors the listener rests, else it would spin on the same connection.
 constexpr double kAcceptRest_s = 0.1;
+// Of what is ready in one turn: answers from those that we dialled, then what comes from clients, then
+// datagrams. The first finish what was begun, the last may take long to read. Timers come after all of them.
+constexpr int kDialledPriority = 1, kAcceptedPriority = 0, kDatagramPriority = -1;
 // Timers that run later than this have waited for the process, not for their time.
 constexpr Time kLate = 20;
 
@@ -98,6 +101,7 @@
         if (!ev) throw std::runtime_error("libev can't start an event loop");
         ev_timer_init(&timer, on_timer, 0, 0);
         timer.data = this;
+        static_assert(EV_MINPRI < kDatagramPriority && kDialledPriority < EV_MAXPRI);
         // After a stop of its own a process reads what waits before it judges by its timers that others were
         // silent.
         ev_set_priority(&timer, EV_MINPRI);
@@ -248,6 +252,7 @@
         s.connected = connected;
         s.handler = handler;
         ev_io_init(&s.io, on_io, fd, 0);
+        ev_set_priority(&s.io, connected ? kAcceptedPriority : kDialledPriority);
         s.io.data = &s;
         ev_timer_init(&s.dialling, on_dial_timeout, 0, 0);
         s.dialling.data = &s;
@@ -452,6 +457,7 @@
   public:
     EvDatagram(Impl* loop, int fd, Heard heard) : loop_(loop), fd_(fd), heard_(std::move(heard)) {
         ev_io_init(&io_, on_io, fd, EV_READ);
+        ev_set_priority(&io_, kDatagramPriority);
         io_.data = this;
         ev_io_start(loop_->ev, &io_);
     }
--- a/tests/io/io_test.cpp
+++ b/tests/io/io_test.cpp
@@ -233,6 +233,36 @@
     }
 }
 
+TEST(Sockets, WhatWasDialledIsReadBeforeWhatWasAccepted) {
+    for (const bool accepted_first : {true, false}) {
+        EvLoop loop(1);
+        std::string order;
+        struct Reader : StreamHandler {
+            std::string& order;
+            const char mark;
+            std::unique_ptr<Stream> stream;
+            Reader(std::string& o, char m) : order(o), mark(m) {}
+            void on_data(std::string_view) override { order += mark; }
+            void on_end() override {}
+            void on_closed(Closing) override {}
+        };
+        Reader accepted(order, 'a'), dialled(order, 'd');
+        const auto listener = loop.listen({"127.0.0.1", 0}, [&](std::unique_ptr<Stream> stream) {
+            accepted.stream = std::move(stream);
+            accepted.stream->set_handler(&accepted);
+        });
+        dialled.stream = loop.dial(listener->address(), 1000, &dialled);
+        Timer say = loop.after(50, [&] {
+            if (accepted_first) dialled.stream->write("to the accepted one");
+            accepted.stream->write("to the dialled one");
+            if (!accepted_first) dialled.stream->write("to the accepted one");
+        });
+        Timer stop = loop.after(150, [&] { loop.stop(); });
+        loop.run();
+        EXPECT_EQ(order, "da") << (accepted_first ? "accepted first" : "dialled first");
+    }
+}
+
 TEST(Virtual, SameSeedSameBytesAtTheSameTimes) {
     const auto play = [](std::uint64_t seed) {
         World world(seed);
