Reading one stream from another's callback leaves that callback's bytes alone

Cause or need: receive_arrived(), new with the drained exits, reads into the buffer that all streams share. Called from within a stream's on_data it would overwrite the bytes that this callback still holds. No caller does so today; the seam promises that any may.

Evidence: ReadingAnotherStreamLeavesTheBytesOfACallbackAlone failed before (the second stream's bytes in place of the first's).

--- a/src/io/ev/ev_loop.cpp
+++ b/src/io/ev/ev_loop.cpp
@@ -15,6 +15,7 @@
 #include <cstring>
 #include <list>
 #include <stdexcept>
+#include <vector>
 
 #include "io/timers.hpp"
 
@@ -356,8 +357,21 @@
         if (s.peer_ended && s.end_sent) return s.close_with(Closing::clean);
         s.interest();
     }
+    // A callback may have another stream read (receive_arrived) while it holds the bytes of its own.
     static void read(State& s) {
-        static thread_local std::array<char, kReadATurn> buffer;
+        static thread_local bool in_callback = false;
+        if (in_callback) {
+            std::vector<char> buffer(kReadATurn);
+            return read_into(s, buffer);
+        }
+        static thread_local std::vector<char> buffer(kReadATurn);
+        struct Guard {
+            Guard() { in_callback = true; }
+            ~Guard() { in_callback = false; }
+        } guard;
+        read_into(s, buffer);
+    }
+    static void read_into(State& s, std::vector<char>& buffer) {
         const ssize_t n = ::recv(s.fd, buffer.data(), buffer.size(), 0);
         if (n > 0) {
             if (s.handler) s.handler->on_data({buffer.data(), static_cast<std::size_t>(n)});
--- a/tests/io/io_test.cpp
+++ b/tests/io/io_test.cpp
@@ -1,6 +1,9 @@
 // The seam, the same tests on both loops: sockets and simulated time.
 #include <gtest/gtest.h>
 
+#include <list>
+#include <utility>
+
 #include "io/ev/ev_loop.hpp"
 #include "io/virtual/world.hpp"
 
@@ -263,6 +266,39 @@
     }
 }
 
+TEST(Sockets, ReadingAnotherStreamLeavesTheBytesOfACallbackAlone) {
+    EvLoop loop(1);
+    std::list<Peer> accepted;
+    const auto listener = loop.listen({"127.0.0.1", 0}, [&](std::unique_ptr<Stream> stream) {
+        accepted.emplace_back();
+        accepted.back().stream = std::move(stream);
+        accepted.back().stream->set_handler(&accepted.back());
+    });
+    struct Reader : StreamHandler {
+        std::unique_ptr<Stream> stream;
+        Stream* other = nullptr;
+        std::string got;
+        void on_data(std::string_view bytes) override {
+            if (other) std::exchange(other, nullptr)->receive_arrived();
+            got += bytes;
+        }
+        void on_end() override {}
+        void on_closed(Closing) override {}
+    };
+    Reader first, second;
+    first.stream = loop.dial(listener->address(), 1000, &first);
+    second.stream = loop.dial(listener->address(), 1000, &second);
+    Timer say = loop.after(50, [&] {
+        first.other = second.stream.get();
+        second.other = first.stream.get();
+        for (Peer& peer : accepted) peer.stream->write(peer.stream->peer().text());
+    });
+    Timer stop = loop.after(150, [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(first.got, first.stream->local().text());
+    EXPECT_EQ(second.got, second.stream->local().text());
+}
+
 TEST(Virtual, SameSeedSameBytesAtTheSameTimes) {
     const auto play = [](std::uint64_t seed) {
         World world(seed);
