--- a/src/nodes/relay/nodes.cpp
+++ b/src/nodes/relay/nodes.cpp
@@ -73,6 +73,8 @@
     // A connection that was up has been lost: what ended there meanwhile is told on the next one that is
     // opened.
     bool lost_one = false, redialling = false;
+    // It has not answered the end of a connection: what it tells there once it runs again is lost.
+    bool end_unanswered = false;
     io::Time lost_at = 0, redial_wait = kRedial;
     io::Timer redial, watch;
 };
@@ -179,6 +181,7 @@
     c.stream->end();
     c.linger = loop_.after(kLinger, [this, &c] {
         Node& node = c.node;
+        node.end_unanswered = true;
         lose(c);
         keep_up(node);
     });
@@ -530,6 +533,11 @@
     c.node.presence.heard(loop_.now());
     c.node.redial_wait = kRedial;  // a connection that only comes up is no sign that the next will last
     c.used = loop_.now();
+    if (std::exchange(c.node.end_unanswered, false)) {
+        c.node.lost_one = true;
+        c.node.lost_at = loop_.now();
+        keep_up(c.node);
+    }
     while (!c.gone && !bytes.empty()) {
         const auto result = c.decoder.next(bytes);
         if (!result) return;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -620,6 +620,35 @@
     EXPECT_TRUE(silent.heard.empty()) << "who says nothing is nobody to tell";
 }
 
+// A node hangs while its connection is ended by us and, for want of its end, dropped. Back again it tells the
+// end of a session there, into the void, and on the next connection that is opened.
+TEST(Relay, ANodeThatIsHeardAgainAfterAnUnansweredEndIsDialled) {
+    Rig rig;
+    Viewer& v = rig.viewer();
+    Node& node = *rig.nodes[0];
+    v.say(setup_line(1, "paid", 2000));
+    rig.run(300);
+    ASSERT_EQ(v.of(Type::answer).size(), 1u);
+    const auto react = std::exchange(node.react, [](auto&, const auto&) {});
+    v.say(setup_line(2, "paid", 2000));
+    rig.run(100);
+    const auto own = std::find_if(node.links.begin(), node.links.end(), [](const auto& l) { return l.open; });
+    ASSERT_NE(own, node.links.end());
+    for (auto& link : node.links) link.stream->pause();
+    node.at_open = [](auto& link) { link.stream->pause(); };
+    v.say(release_line(2, 16));
+    rig.run(1500);
+    const std::size_t dialled = node.links.size();
+    node.react = react;
+    node.at_open = [](auto& link) { link.send(Type::release, 1, 16); };
+    auto& other = node.links.back();
+    ASSERT_TRUE(other.open);
+    other.send(Type::note, 1, -1, {{47, "share"}, {57, "1"}});
+    rig.run(400);
+    EXPECT_GT(node.links.size(), dialled) << "nothing else would bring the end";
+    EXPECT_EQ(v.of(Type::release).size(), 1u);
+}
+
 // Its own connection was ended behind the answer, the end is told on another: read first, it would be taken
 // for the answer, and the answer for a second one.
 TEST(Relay, AnEndToldOnAnotherConnectionDoesNotOvertakeItsAnswer) {
--- a/tests/soak/client.hpp
+++ b/tests/soak/client.hpp
@@ -133,6 +133,7 @@
         for (const auto& link : links_) {
             if (!link->stream || !link->pending.erase(id)) continue;
             request->cancelled = loop_.now();
+            ledger_.word(id, "cancelled on connection " + std::to_string(link->number), loop_.now());
             link->stream->write(relaytest::release_line(id, relay::kCauseGivenUp) + "\n");
             return;
         }
@@ -144,6 +145,7 @@
         for (const auto& link : links_) {
             if (!link->stream || !link->up) continue;
             request->hung_up = true;
+            ledger_.word(id, "hung up on connection " + std::to_string(link->number), loop_.now());
             link->stream->write(relaytest::release_line(id, relay::kCauseGivenUp) + "\n");
             return;
         }
