Once all is given up a director no longer waits for clients to close

Cause: since connections are drained the process waited for the client to close its side, and so for the hard deadline 50 ms before the kill, where it used to leave within 20 ms of its last answer; a sanitizer's exit takes the rest.

Change: from answer_by() on (100 ms before the kill) the process leaves when nothing is owed or unsent and nothing came for 50 ms. WaitsForNoClientOnceAllIsGivenUp fails without it. decide 20, process 21, relay 161 tests pass.

--- a/src/decide/shutdown.cpp
+++ b/src/decide/shutdown.cpp
@@ -36,8 +36,10 @@
 
 bool Shutdown::leaves(Time now, const Unfinished& left) const {
     if (now >= killed_ - kCrossing) return true;
-    if (now < take_until() || left.owed > 0 || left.unsent || left.connections > 0) return false;
-    return now - left.heard >= kQuiet;
+    if (now < take_until() || left.owed > 0 || left.unsent) return false;
+    // All is answered or given up; the little time left is for the process to end.
+    if (now >= answer_by()) return now - left.heard >= kCrossing;
+    return left.connections == 0 && now - left.heard >= kQuiet;
 }
 
 }  // namespace ivyfield::decide
--- a/tests/decide/shutdown_test.cpp
+++ b/tests/decide/shutdown_test.cpp
@@ -38,6 +38,15 @@
     EXPECT_FALSE(end.leaves(end.take_until() - 1, {0, false, 0, 0})) << "set-ups still come";
 }
 
+TEST(Shutdown, WaitsForNoClientOnceAllIsGivenUp) {
+    const Shutdown end(with_patience({3000}), 1000);
+    const Time last = end.answer_by();
+    EXPECT_FALSE(end.leaves(last - 1, {0, false, 1, 0}));
+    EXPECT_TRUE(end.leaves(last, {0, false, 1, 0}));
+    EXPECT_FALSE(end.leaves(last, {0, true, 1, 0}));
+    EXPECT_FALSE(end.leaves(last, {0, false, 1, last - 20})) << "something has just come";
+}
+
 TEST(Shutdown, EndsAConnectionOnceNothingIsOpenOnIt) {
     const Shutdown end(with_patience({3000}), 1000);
     const Time now = end.take_until() + 10;
