Review case: giving a set-up up on another connection drops the set-ups of others

Seen: a viewer's connection is reset under its set-up; it gives the set-up up on another connection. The director closes that one and answers none of the set-ups that other viewers have open on it. At fault, as far as known: RelayFront::handle_release() and abandon_pending_setups().

--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -590,6 +590,7 @@
     int answers = 0;
     std::string line_text;  // as it was sent, to be sent again once
     bool sent_again = false;
+    bool given_up = false;  // by its viewer: no answer is owed any more
     // Ends as the media node saw them, for the checks.
     std::string node;
     Ms stood_at = -1, ended_at = -1;
@@ -617,7 +618,7 @@
         record().line("viewers' connection %s has ended", line.name.c_str());
         for (const std::uint64_t id : line.open_setups) {
             Request& request = requests[id];
-            if (request.answered >= 0 || request.sent_again || now() - request.sent > 50) continue;
+            if (request.answered >= 0 || request.sent_again || request.given_up || now() - request.sent > 50) continue;
             request.sent_again = true;
             Line& fresh = open(line.name + "-again", director_port);
             record().line("viewer sends set-up %s again, %.1f ms after the first time, on %s", hex16(id).c_str(),
@@ -657,6 +658,12 @@
         line.write(text);
         return request.id;
     }
+    // The viewer stops waiting: a release with cause 16, on this connection.
+    void give_up_on(Line& line, std::uint64_t id) {
+        requests[id].given_up = true;
+        record().line("viewer gives set-up %s up on %s", hex16(id).c_str(), line.name.c_str());
+        line.write("{\"type\":\"release\",\"id\":\"" + hex16(id) + "\",\"fields\":{},\"cause\":16}\n");
+    }
     void read(Line& line) {
         for (std::size_t end; (end = line.in.find('\n')) != std::string::npos;) {
             const std::string text = line.in.substr(0, end);
@@ -827,6 +834,7 @@
     constexpr Ms kSlack = 50, kLate = 500, kAfterRelease = 1000, kAfterLoss = 8000;
     for (const auto& [id, request] : viewers.requests) {
         const std::string text = hex16(id);
+        if (request.given_up && request.answers == 0) continue;
         if (request.answers == 0 && now() > request.sent + request.left + kLate + kSlack)
             broken.push_back("request " + text + " got no answer");
         if (request.answers > 1) broken.push_back("request " + text + " got two answers");
