--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -548,6 +548,8 @@
 struct Director {
     pid_t pid = 0;
     int port = 0;
+    std::string name = "n0";
+    int index = 0, directors = 1;  // its number among the directors of the deployment, and how many there are
 
     // Starts the `run` command of deploy/balancer.toml from the repository's root, as DEPLOY says.
     void start(const std::string& folder, const std::string& config) {
@@ -556,15 +558,15 @@
         while (std::getline(deploy, line))
             if (line.rfind("run = \"", 0) == 0) run = line.substr(7, line.find('"', 7) - 7);
         if (run.empty()) give_up("deploy/balancer.toml has no run line");
-        const std::string path = folder + "/config.json";
+        const std::string path = folder + "/" + name + ".json";
         std::ofstream(path) << config;
-        const std::string log = folder + "/director.log";
+        const std::string log = folder + "/" + name + ".log";
         pid = fork();
         if (pid == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(fd, 1), dup2(fd, 2);
-            setenv("RELAY_NAME", "n0", 1);
+            setenv("RELAY_NAME", name.c_str(), 1);
             setenv("RELAY_LISTEN", address_text(port).c_str(), 1);
             setenv("RELAY_CONFIG", path.c_str(), 1);
             setenv("TMPDIR", folder.c_str(), 1);
@@ -572,11 +574,11 @@
             _exit(127);
         }
         started_processes().push_back(pid);
-        record().line("director starts: %s", run.c_str());
+        record().line("director %s starts: %s", name.c_str(), run.c_str());
     }
     bool runs() const { return waitpid(pid, nullptr, WNOHANG) == 0; }
-    void stop() const { kill(pid, SIGSTOP), record().line("director: SIGSTOP"); }
-    void go_on() const { kill(pid, SIGCONT), record().line("director: SIGCONT"); }
+    void stop() const { kill(pid, SIGSTOP), record().line("director %s: SIGSTOP", name.c_str()); }
+    void go_on() const { kill(pid, SIGCONT), record().line("director %s: SIGCONT", name.c_str()); }
 };
 
 // ---- Viewers ----
@@ -743,7 +745,7 @@
                                const std::string& zone, const std::string& kind, int kind_slots, double weight_kb,
                                const std::string& report_fields, int idle_close, double tip_multiple) {
     std::ostringstream o;
-    o << "{\"name\":\"n0\",\"listen\":\"" << address_text(director.port) << "\",\"seed\":\"8c1f30d27a5be964\","
+    o << "{\"name\":\"" << director.name << "\",\"listen\":\"" << address_text(director.port) << "\",\"seed\":\"8c1f30d27a5be964\","
       << "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":256},\"dns\":\"" << address_text(names.port())
       << "\",\"known\":{\"n\":" << names.serial << ",\"events\":[{\"n\":" << names.serial
       << ",\"members\":{\"rev\":" << names.serial << ",\"all\":true,\"targets\":[";
@@ -754,7 +756,7 @@
           << ",\"state\":\"ready\",\"capacity_hint\":" << one.weight << ",\"boot_ms\":0}";
         first = false;
     }
-    o << "]}}]},\"settings\":{\"az\":0,\"balancers\":1,\"self_index\":0,\"discovery\":\"pushed\",\"family\":\"streams\","
+    o << "]}}]},\"settings\":{\"az\":0,\"balancers\":" << director.directors << ",\"self_index\":" << director.index << ",\"discovery\":\"pushed\",\"family\":\"streams\","
       << "\"zones\":[\"" << zone << "\"],\"flavors\":[\"" << kind << "\"],"
       << "\"limits\":{\"probes\":true,\"cancel\":true,\"max_attempts\":4,\"retry_after\":true,"
       << "\"max_retry_after_ms\":2000.0,\"connect_timeout_ms\":250.0,\"idle_close_ms\":" << idle_close << ".0},"
