--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.hpp
@@ -426,6 +426,7 @@
     const std::string& uid() const { return uid_; }
     int port() const { return port_; }
     double work_ms = 60;
+    bool quiet = false;  // set-ups and answers are not recorded
     struct Session {
         std::weak_ptr<Connection> link;
     };
@@ -444,9 +445,13 @@
         if (!link || !link->open() || !pending_.count({session, link.get()})) return;
         pending_.erase({session, link.get()});
         playing[session] = {link};
-        record("%s answers %s: it stands", uid_.c_str(), hex(session).c_str());
+        if (!quiet) record("%s answers %s: it stands", uid_.c_str(), hex(session).c_str());
         send(link, kAnswer, session, -1, {{63, "made by " + uid_ + " for " + hex(session)}});
     }
+    // Ends a set-up without a session.
+    void refuse(std::uint64_t session, const Link& link, int cause) {
+        if (pending_.erase({session, link.get()})) send(link, kRelease, session, cause);
+    }
     // The session comes to its end: told on the connection of its set-up, else on any open one, and on the next
     // one that is opened.
     void end(std::uint64_t session, int cause) {
@@ -552,7 +557,9 @@
         link->on_end = [this, raw = link.get()](Connection::End) {
             for (auto it = pending_.begin(); it != pending_.end();) {
                 if (it->second == raw) {
-                    record("%s: the connection of %s is closed, it is given up", uid_.c_str(), hex(it->first).c_str());
+                    if (!quiet)
+                        record("%s: the connection of %s is closed, it is given up", uid_.c_str(),
+                               hex(it->first).c_str());
                     it = pending_.erase(it);
                 } else {
                     ++it;
@@ -565,7 +572,7 @@
     void receive(const Link& link, const Frame& frame) {
         switch (frame.type) {
             case kSetup: {
-                record("%s receives the set-up of %s whole", uid_.c_str(), hex(frame.session).c_str());
+                if (!quiet) record("%s receives the set-up of %s whole", uid_.c_str(), hex(frame.session).c_str());
                 pending_.insert({frame.session, link.get()});
                 if (on_setup && !on_setup(frame.session, frame, link)) return;
                 loop_.after(work_ms, [this, session = frame.session, weak = std::weak_ptr<Connection>(link)] {
@@ -577,7 +584,7 @@
                 return send(link, kPong, frame.session, 1, {{51, "inflight:1;x0:0.1;x1:0.1"}});
             case kRelease:
             case kMove:
-                record("%s receives a release of %s, cause %d", uid_.c_str(), hex(frame.session).c_str(), frame.cause);
+                if (!quiet) record("%s receives a release of %s, cause %d", uid_.c_str(), hex(frame.session).c_str(), frame.cause);
                 pending_.erase({frame.session, link.get()});
                 playing.erase(frame.session);
                 if (on_release) on_release(frame.session, frame);
@@ -618,7 +625,7 @@
 // A viewers' connection to the director (or to a proxy before it).
 class ViewerLink {
   public:
-    ViewerLink(Loop& loop, int port, std::string name) : name_(std::move(name)) {
+    ViewerLink(Loop& loop, int port, std::string name, bool quiet = false) : name_(std::move(name)), quiet_(quiet) {
         link_ = Connection::dial(loop, port);
         if (!link_) return;
         link_->on_bytes = [this](const std::string& bytes) {
@@ -628,7 +635,7 @@
                 const std::string text = buffer_.substr(0, end);
                 buffer_.erase(0, end + 1);
                 const Line line = parse_line(text);
-                record("%s receives %s", name_.c_str(), text.c_str());
+                if (!quiet_) record("%s receives %s", name_.c_str(), text.c_str());
                 if (on_line) on_line(line);
             }
         };
@@ -638,7 +645,7 @@
         };
     }
     void send(const std::string& text) {
-        record("%s sends %s", name_.c_str(), text.c_str());
+        if (!quiet_) record("%s sends %s", name_.c_str(), text.c_str());
         if (link_) link_->write(text + "\n");
     }
     bool open() const { return link_ && link_->open(); }
@@ -650,6 +657,7 @@
 
   private:
     const std::string name_;
+    const bool quiet_;  // its messages are not recorded
     Link link_;
     std::string buffer_;
 };
@@ -675,6 +683,8 @@
     bool probes = true;
     double drain_grace_ms = 500;
     int cold_ms = 8000;
+    long memory_mb = 192;
+    int sockets = 1024;
 };
 // The configuration file of a director: the settings of the wire's page for a small deployment.
 inline std::string director_config(int listen, int dns, const NameServer& names, const SettingsOptions& options) {
@@ -691,7 +701,8 @@
     const std::string serial = std::to_string(names.serial);
     const auto ms = [](double value) { return std::to_string(value); };
     return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(listen) +
-           "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+           "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":" +
+           std::to_string(options.memory_mb) + ",\"sockets\":" + std::to_string(options.sockets) + "},"
            "\"dns\":\"127.0.0.1:" + std::to_string(dns) + "\",\"known\":{\"n\":" + serial +
            ",\"events\":[{\"n\":" + serial + ",\"members\":{\"rev\":" + serial + ",\"all\":true,\"targets\":[" + targets +
            "]}}]},\"settings\":{\"az\":0,\"balancers\":" + std::to_string(options.directors) +
@@ -724,6 +735,7 @@
         : run_(std::move(run)), folder_(std::move(folder)), port_(port) {}
     ~Director() { kill_now(); }
     int port() const { return port_; }
+    pid_t pid() const { return pid_; }
     void start(const std::string& config) {
         const std::string path = folder_ + "/config.json";
         std::ofstream(path) << config;
