--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -9,9 +9,13 @@
     exit 2
 }
 folder=$(mktemp -d) || exit 2
+pid=
 trap 'rm -rf "$folder"' EXIT
-trap 'exit 2' INT TERM HUP
-timeout -k 5 110 "$program" "$run" "$case_folder/record.txt" "$folder" "${TROUBLE:-1}"
+trap '[ -n "$pid" ] && kill "$pid"; exit 2' INT TERM HUP
+# The director gets a kill when the stand-ins end, however they end.
+timeout -k 5 110 "$program" "$run" "$case_folder/record.txt" "$folder" "${TROUBLE:-1}" &
+pid=$!
+wait "$pid"
 code=$?
 [ -f "$folder/director.log" ] && sed 's/^/director log: /' "$folder/director.log" >> "$case_folder/record.txt"
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
