Traffic to a silent media node no longer puts off the check of its machine

Cause: maintain_connection() runs for each session that ends and armed the reachability timer anew, and FailureDetector::next_check_at() counted 500 ms from the call. While viewers hang up every 500 ms or sooner, the node is never dialled; after its return the dial succeeds. Ruled out: a detector that is too slow (without hang-ups the sessions end 3.3 s after the loss).

Change: the time of the next check follows from the node's last activity and the last check or dial alone, so arming the timer again puts nothing off.

--- a/src/decide/failure_detector.cpp
+++ b/src/decide/failure_detector.cpp
@@ -24,6 +24,7 @@
 // dial at the same bad moment do not end every session at the node.
 bool FailureDetector::record_dial_failure(Time started, Time now, bool refused) {
     if (refused) return true;
+    last_check_ = std::max(last_check_, started);
     if (started < last_activity_ || (dial_failures_ > 0 && started < last_failure_)) return false;
     last_failure_ = now;
     dial_failures_ += 1;
@@ -31,7 +32,7 @@
 }
 
 Time FailureDetector::next_check_at(Time now) const {
-    return std::max(now + kCheckInterval, last_activity_ + kSilenceLimit);
+    return std::max({now, last_check_ + kCheckInterval, last_activity_ + kSilenceLimit});
 }
 
 bool FailureDetector::is_silent(Time now) const { return now >= last_activity_ + kSilenceLimit; }
--- a/src/decide/failure_detector.hpp
+++ b/src/decide/failure_detector.hpp
@@ -15,12 +15,16 @@
     // A dial that started at `started` has failed. `refused`: the machine answered, but no process listens
     // on the port. True: the node is gone, and so are all its sessions.
     bool record_dial_failure(Time started, Time now, bool refused);
-    // When to check again whether a node with sessions must be dialled, and whether it must be dialled now.
+    // It has been checked whether a node with sessions must be dialled.
+    void record_check(Time now) { last_check_ = now; }
+    // When to check next, not before `now`. The time depends on the node and on earlier checks alone, so a
+    // caller that schedules the check again puts nothing off.
     Time next_check_at(Time now) const;
+    // Whether a node with sessions must be dialled.
     bool is_silent(Time now) const;
 
   private:
-    Time last_activity_ = 0, last_failure_ = 0;
+    Time last_activity_ = 0, last_failure_ = 0, last_check_ = 0;
     int dial_failures_ = 0;
 };
 
--- a/src/nodes/relay/nodes.cpp
+++ b/src/nodes/relay/nodes.cpp
@@ -360,6 +360,7 @@
     node.reachability_timer = loop_.at(node.failure_detector.next_check_at(loop_.now()), [this, id] {
         Node* current = find(id);
         if (!current || current->established.empty() || !current->listed) return;
+        current->failure_detector.record_check(loop_.now());
         const bool connecting = std::any_of(current->connections.begin(), current->connections.end(),
                                             [](const auto& connection) { return !connection->connected; });
         if (current->failure_detector.is_silent(loop_.now()) && !connecting)
--- a/tests/decide/failure_detector_test.cpp
+++ b/tests/decide/failure_detector_test.cpp
@@ -39,6 +39,16 @@
     EXPECT_TRUE(detector.record_dial_failure(5000, 5250, false));
 }
 
+// Guards against checks that each new message to the node puts off.
+TEST(FailureDetector, SchedulingACheckAgainDoesNotPutItOff) {
+    FailureDetector detector;
+    detector.record_activity(1000);
+    for (double now = 1000; now < 3000; now += 300) EXPECT_EQ(detector.next_check_at(now), 3000);
+    EXPECT_EQ(detector.next_check_at(3100), 3100) << "overdue: at once";
+    detector.record_check(3100);
+    for (double now = 3100; now < 3600; now += 100) EXPECT_EQ(detector.next_check_at(now), 3600);
+}
+
 TEST(FailureDetector, ASilentNodeIsDetectedInLessThanEightSeconds) {
     FailureDetector detector;
     detector.record_activity(1000);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -405,6 +405,26 @@
     EXPECT_EQ(rig.director->engine().open_sessions(), 0u);
 }
 
+// Guards against a lost machine that is never dialled because its viewers go on ending their sessions.
+TEST(Relay, AVanishedMachineIsNoticedWhileItsViewersHangUp) {
+    Rig rig;
+    Viewer& v = rig.connect_viewer();
+    constexpr std::uint64_t kSessions = 20, kLeaving = 14;
+    for (std::uint64_t id = 1; id <= kSessions; ++id) v.send_line(make_setup_line(id, "paid"));
+    rig.run_for(1000);
+    ASSERT_EQ(v.received_of(MessageType::answer).size(), kSessions);
+    rig.nodes[0]->on_message = nullptr;
+    rig.nodes[0]->listener->pause();
+    for (std::uint64_t id = 1; id <= kLeaving; ++id) {
+        v.send_line(make_release_line(id, 16));
+        rig.run_for(350);
+    }
+    std::set<std::uint64_t> told;
+    for (const auto& m : v.received_of(MessageType::release)) told.insert(m.session);
+    for (std::uint64_t id = kLeaving + 1; id <= kSessions; ++id) EXPECT_TRUE(told.count(id)) << id;
+    EXPECT_EQ(rig.director->engine().open_sessions(), 0u);
+}
+
 TEST(Relay, SessionEndsAreSentOnAnotherConnectionOrOnTheNext) {
     Rig rig;
     Viewer &v = rig.connect_viewer(), &other = rig.connect_viewer();
