Sessions of a media node's earlier process end when the list shows a later start

Cause: RelayNodes told the processes at one address apart by refused dials alone. An accepted dial counted as a sign of life of the old process; the start time of the list reached only the decision module's pacing. Idle connections to a machine that was lost stayed in use for its successor, and to an address that the node had left.

Change: decide::NodeIncarnation. A later start, or another address under the same id, is another process: sessions last heard before its start end as reset, idle connections on which it has sent nothing are dropped, set-ups go only to the address that the list has now. status.nodes.restarted counts.

--- a/src/cli/relay.cpp
+++ b/src/cli/relay.cpp
@@ -124,6 +124,13 @@
     engine_.update_server_list(list);
 }
 
+// Returns when the member's process started, on the loop's clock; 0: long ago. The offset never changes: a
+// start time that differed only slightly from the last list would be taken for a restart of the node.
+io::Time RelayProcess::start_time(const discovery::Member& member) const {
+    if (member.started_unix_ms <= 0) return 0;
+    return std::max(1.0, member.started_unix_ms + unix_to_loop_offset_);
+}
+
 ServerEntry RelayProcess::make_entry(const discovery::Member& member) const {
     const auto find_index = [](const std::vector<std::string>& names, const std::string& name) {
         const auto it = std::find(names.begin(), names.end(), name);
@@ -133,10 +140,7 @@
     entry.id = make_server_id(member.uid);
     entry.position = member.cell;
     entry.weight = member.weight;
-    // Converted with an offset that never changes: a start time that differed only slightly from the last
-    // list would be taken for a restart of the node.
-    if (member.started_unix_ms > 0)
-        entry.last_start = std::max(1.0, member.started_unix_ms + unix_to_loop_offset_);
+    entry.last_start = start_time(member);
     entry.zone = find_index(config_.zones, member.zone);
     entry.kind = find_index(config_.kinds, member.kind);
     entry.state = member.state;
@@ -147,7 +151,7 @@
     std::map<ServerId, nodes::RelayNode> nodes;
     for (const auto& [uid, member] : members_) {
         const ServerId id = make_server_id(uid);
-        nodes[id] = {uid, member.address, member.state == ServerState::ready};
+        nodes[id] = {uid, member.address, member.state == ServerState::ready, start_time(member)};
         if (!node_names_.emplace(id, uid).second) continue;
         node_name_order_.push_back(id);
     }
@@ -277,7 +281,8 @@
               {"resets", nodes.resets},
               {"stray", nodes.unexpected},
               {"shared", nodes.shared_connections},
-              {"vanished", nodes.unreachable}}},
+              {"vanished", nodes.unreachable},
+              {"restarted", nodes.restarts}}},
             {"list",
              {{"asked", list.asked},
               {"taken", list.taken},
--- a/src/cli/relay.hpp
+++ b/src/cli/relay.hpp
@@ -37,6 +37,7 @@
     void start_engine();
     void update_list(const discovery::Members& members);
     void confirm_list();
+    io::Time start_time(const discovery::Member& member) const;
     ServerEntry make_entry(const discovery::Member& member) const;
     void update_nodes();
     void log_session(const core::SessionRecord& record);
--- a/src/nodes/relay/nodes.cpp
+++ b/src/nodes/relay/nodes.cpp
@@ -6,6 +6,7 @@
 #include <limits>
 #include <utility>
 
+#include "decide/node_incarnation.hpp"
 #include "decide/session_end.hpp"
 
 namespace ivyfield::nodes {
@@ -36,11 +37,12 @@
     RelayNodes& owner;
     Node& node;
     std::unique_ptr<io::Stream> stream;
+    io::Address address;  // that was dialled
     relay::FrameDecoder decoder;
     bool connected = false, removed = false;
     bool closing = false;  // nothing more is sent on it; read until the node closes it too
     io::Timer linger_timer;
-    io::Time dialled_at = 0, last_used = 0;
+    io::Time dialled_at = 0, last_used = 0, last_received = 0;
     // At most one, unless the limit of connections forces set-ups to share one.
     struct PendingSetup {
         core::SetupRequest setup;
@@ -75,6 +77,7 @@
     std::map<SessionId, EstablishedSession> established;
     std::deque<NodeMessage> unsent_ends;  // ends of sessions that wait for a connection to the node
     decide::FailureDetector failure_detector;
+    decide::NodeIncarnation incarnation;
     // connection_lost: an established connection was lost. The node reports what has ended since then on the
     // next connection that is opened.
     bool connection_lost = false, redial_pending = false;
@@ -97,10 +100,16 @@
 void RelayNodes::set_nodes(const std::map<ServerId, RelayNode>& nodes) {
     for (const auto& [id, info] : nodes) {
         auto& node = nodes_[id];
-        if (!node) node = std::make_unique<Node>();
-        node->id = id;
+        if (!node) {
+            node = std::make_unique<Node>();
+            node->id = id;
+            node->info = info;
+            node->incarnation = decide::NodeIncarnation(info.started);
+        }
+        const bool moved = node->info.address != info.address;
         node->info = info;
         node->listed = true;
+        if (node->incarnation.update(info.started, moved, loop_.now())) end_earlier_incarnation(*node);
     }
     std::vector<ServerId> unlisted;
     for (const auto& [id, node] : nodes_)
@@ -126,7 +135,7 @@
             [this, session, attempt] { events_->on_attempt_ended(session, attempt, Outcome::reset, {}); });
         return;
     }
-    node->established[session] = {attempt};
+    node->established[session] = {attempt, loop_.now()};
     maintain_connection(*node);
 }
 
@@ -135,6 +144,7 @@
 RelayNodes::Connection& RelayNodes::open_connection(Node& node) {
     auto owned = std::make_unique<Connection>(*this, node);
     Connection& connection = *owned;
+    connection.address = node.info.address;
     connection.dialled_at = connection.last_used = loop_.now();
     node.connections.push_back(std::move(owned));
     connection_count_ += 1;
@@ -147,7 +157,7 @@
     Connection* most_recent = nullptr;
     for (const auto& connection : node.connections) {
         if (!connection->is_idle() || connection->is_reachability_check ||
-            (connected_only && !connection->connected))
+            connection->address != node.info.address || (connected_only && !connection->connected))
             continue;
         if (limits_.idle_timeout > 0 &&
             loop_.now() - connection->last_used > limits_.idle_timeout * kIdleFraction)
@@ -276,8 +286,9 @@
     Connection::PendingSetup& pending = connection.pending_setups.at(session);
     const core::SetupRequest& setup = pending.setup;
     // The list may have changed while the connection was being established: a draining node gets no new
-    // set-ups.
-    if (!connection.node.listed || !connection.node.info.ready || setup.expires <= loop_.now())
+    // set-ups, and at its earlier address there may be another node.
+    if (!connection.node.listed || !connection.node.info.ready || setup.expires <= loop_.now() ||
+        connection.address != connection.node.info.address)
         return finish_setup(connection, session, Outcome::not_sent, {});
     NodeMessage message;
     message.type = MessageType::setup;
@@ -371,12 +382,18 @@
 
 void RelayNodes::end_all_sessions(Node& node, const char* reason) {
     node.unsent_ends.clear();
-    if (node.established.empty()) return;
-    if (on_warning)
-        on_warning("node " + node.info.uid + " " + reason + ": " + std::to_string(node.established.size()) +
-                   " sessions are over");
     const auto ended = std::move(node.established);
     node.established.clear();
+    end_sessions(node, ended, reason);
+}
+
+// Reports sessions that are no longer among the node's as ended.
+void RelayNodes::end_sessions(Node& node, const std::map<SessionId, EstablishedSession>& ended,
+                              const char* reason) {
+    if (ended.empty()) return;
+    if (on_warning)
+        on_warning("node " + node.info.uid + " " + reason + ": " + std::to_string(ended.size()) +
+                   " sessions are over");
     for (const auto& [session, established] : ended) {
         NodeMessage message;
         message.type = MessageType::release, message.session = session, message.cause = relay::kCauseGivenUp;
@@ -385,6 +402,26 @@
     }
 }
 
+// Another process has taken the node's place: what the earlier one had is over. Connections on which nothing
+// was received from the present one are lost, except that a pending set-up or probe waits for its own end.
+void RelayNodes::end_earlier_incarnation(Node& node) {
+    counts_.restarts += 1;
+    std::vector<Connection*> earlier;
+    for (const auto& connection : node.connections)
+        if (connection->is_idle() &&
+            node.incarnation.precedes(std::max(connection->dialled_at, connection->last_received)))
+            earlier.push_back(connection.get());
+    for (Connection* connection : earlier) remove_connection(*connection);
+    std::map<SessionId, EstablishedSession> ended;
+    for (auto it = node.established.begin(); it != node.established.end();) {
+        const auto current = it++;
+        if (node.incarnation.precedes(current->second.established_at))
+            ended.insert(node.established.extract(current));
+    }
+    end_sessions(node, ended, "has started again");
+    maintain_connection(node);
+}
+
 // Closes connections that have been idle for too long; repeated every kSweepInterval.
 void RelayNodes::close_idle_connections() {
     for (const auto& [id, node] : nodes_) {
@@ -577,6 +614,7 @@
 
 void RelayNodes::handle_data(Connection& connection, std::string_view bytes) {
     connection.node.failure_detector.record_activity(loop_.now());
+    connection.last_received = loop_.now();
     // Reset on data only: that a connection is established is no sign that the next one will last.
     connection.node.redial_delay = kMinRedialDelay;
     connection.last_used = loop_.now();
@@ -621,7 +659,7 @@
     const auto pending = connection.pending_setups.find(message.session);
     const core::SetupRequest setup = std::move(pending->second.setup);
     connection.pending_setups.erase(pending);
-    node.established[setup.session] = {setup.attempt};
+    node.established[setup.session] = {setup.attempt, loop_.now()};
     maintain_connection(node);
     core::Media media;
     media.description = *sdp;
--- a/src/nodes/relay/nodes.hpp
+++ b/src/nodes/relay/nodes.hpp
@@ -35,17 +35,18 @@
 
 struct RelayCounts {
     // resets: established connections that ended. unexpected: messages that match nothing here. unreachable:
-    // nodes with sessions that were given up because they could not be reached. shared_connections: set-ups
-    // that shared a connection.
+    // nodes with sessions that were given up because they could not be reached. restarts: nodes that the
+    // server list showed to have started again. shared_connections: set-ups that shared a connection.
     std::uint64_t dials = 0, setups = 0, probes = 0, malformed = 0, resets = 0, unexpected = 0,
-                  unreachable = 0, shared_connections = 0;
+                  unreachable = 0, restarts = 0, shared_connections = 0;
 };
 
 // A node as the server list has it.
 struct RelayNode {
     std::string uid;
     io::Address address;
-    bool ready = false;  // false: draining
+    bool ready = false;    // false: draining
+    io::Time started = 0;  // when its process started, on the loop's clock; 0: long ago
 };
 
 // Reports to the attached NodeEvents, which must be attached before the first call.
@@ -54,7 +55,8 @@
     RelayNodes(io::Loop& loop, const RelayLimits& limits);
     ~RelayNodes() override;
     void attach(core::NodeEvents* events) { events_ = events; }
-    // Sets the full server list. The sessions of a node that is no longer on it end.
+    // Sets the full server list. The sessions of a node that is no longer on it end, and so do those of an
+    // earlier process of a node that has started again or has moved to another address.
     void set_nodes(const std::map<ServerId, RelayNode>& nodes);
     // Takes over a session that is already established at the node.
     void adopt_session(ServerId server, SessionId session, int attempt);
@@ -79,6 +81,7 @@
     struct Node;
     struct EstablishedSession {
         int attempt = 0;
+        io::Time established_at = 0;  // when the node's answer was received, or the session was taken over
     };
 
     Node* find(ServerId id);
@@ -101,6 +104,8 @@
     void finish_probe(Connection& connection, Outcome outcome, const LoadReport& report);
     void end_session(Node& node, SessionId session, Outcome outcome, const LoadReport& report);
     void end_all_sessions(Node& node, const char* reason);
+    void end_sessions(Node& node, const std::map<SessionId, EstablishedSession>& ended, const char* reason);
+    void end_earlier_incarnation(Node& node);
     void maintain_connection(Node& node);
     void schedule_reachability_check(Node& node);
     void send_setup(Connection& connection, SessionId session);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -8,6 +8,22 @@
 namespace ivyfield::relaytest {
 namespace {
 
+// Records what a RelayNodes reports, without engine and module.
+struct EventRecorder : core::NodeEvents {
+    std::vector<std::pair<SessionId, Outcome>> ends;
+    int starts = 0;
+    void on_attempt_started(SessionId, int, const core::Media&) override { starts += 1; }
+    void on_attempt_ended(SessionId id, int, Outcome outcome, const LoadReport&) override {
+        ends.emplace_back(id, outcome);
+    }
+    void on_attempt_lost(SessionId, int, Outcome) override {}
+    void on_attempt_released(SessionId, int) override {}
+    void on_session_note(SessionId, int, ServerId, NoteKind, double) override {}
+    bool reclaim_session(const core::OrphanedSession&) override { return false; }
+    void on_node_incarnation(ServerId, Time) override {}
+    void on_probe_result(ServerId, Outcome, Time, const LoadReport&) override {}
+};
+
 TEST(Relay, ServesASessionFromSetUpToItsEnd) {
     Rig rig;
     Viewer& v = rig.connect_viewer();
@@ -490,6 +506,60 @@
     EXPECT_EQ(v.received_of(MessageType::answer).size(), 2u);
 }
 
+// Guards against the sessions of a dead process that are taken for those of its successor at the address.
+TEST(Relay, ANodeThatStartsAgainEndsOnlyTheSessionsOfItsEarlierProcess) {
+    Rig rig;
+    Viewer& v = rig.connect_viewer();
+    v.send_line(make_setup_line(1, "paid"));
+    v.send_line(make_setup_line(2, "paid"));
+    rig.run_for(300);
+    ASSERT_EQ(v.received_of(MessageType::answer).size(), 2u);
+    // The process dies and starts again; no dial is refused. A session is set up before the list tells.
+    for (auto& link : rig.nodes[0]->links) link.stream.reset();
+    const double started_unix_ms = rig.names_loop.wall_ms();
+    rig.run_for(600);
+    v.send_line(make_setup_line(3, "free one"));
+    rig.run_for(600);
+    ASSERT_EQ(v.received_of(MessageType::answer).size(), 3u);
+    EXPECT_EQ(v.received_of(MessageType::release).size(), 0u);
+    rig.listed[0].started_unix_ms = started_unix_ms;
+    rig.publish_list(rig.listed);
+    std::set<std::uint64_t> told;
+    for (const auto& m : v.received_of(MessageType::release)) told.insert(m.session);
+    EXPECT_EQ(told, (std::set<std::uint64_t>{1, 2}));
+    EXPECT_EQ(rig.director->engine().established_sessions(), 1u);
+}
+
+// Guards against a silent connection to a machine that was lost being used for its next process.
+TEST(RelayNodes, AConnectionToAnEarlierProcessOrAddressCarriesNoSetUp) {
+    for (const bool moved : {false, true}) {
+        io::World world(5);
+        auto& there = world.start("node");
+        auto& here = world.start("director");
+        const io::Address at{"127.0.0.1", 9001}, elsewhere{"127.0.0.1", 9002};
+        Node node(there, at), other(there, elsewhere);
+        EventRecorder recorder;
+        nodes::RelayNodes port(here, {});
+        port.attach(&recorder);
+        port.set_nodes({{1, {"s-0", at, true}}});
+        core::SetupRequest setup;
+        setup.session = 7, setup.server = 1, setup.expires = 1000;
+        port.set_up(setup);
+        world.run_until(500);
+        ASSERT_EQ(recorder.starts, 1);
+        port.set_nodes({{1, {"s-0", moved ? elsewhere : at, true, moved ? 0.0 : 600.0}}});
+        world.run_until(700);
+        EXPECT_EQ(recorder.ends, (std::vector<std::pair<SessionId, Outcome>>{{7, Outcome::reset}}));
+        setup.session = 8, setup.expires = 2000;
+        port.set_up(setup);
+        world.run_until(1200);
+        EXPECT_EQ(recorder.starts, 2);
+        EXPECT_EQ(node.received_of(MessageType::setup).size(), moved ? 1u : 2u);
+        EXPECT_EQ(other.received_of(MessageType::setup).size(), moved ? 1u : 0u);
+        EXPECT_EQ(node.links.size(), moved ? 1u : 2u) << "on a new connection";
+    }
+}
+
 TEST(Relay, InvalidDnsResponsesChangeNothing) {
     Rig rig(2);
     rig.run_for(300);
@@ -916,22 +986,6 @@
     for (const auto& m : v.received_of(MessageType::release)) EXPECT_NE(m.session, 1u);
 }
 
-// Records what a RelayNodes reports, without engine and module.
-struct EventRecorder : core::NodeEvents {
-    std::vector<std::pair<SessionId, Outcome>> ends;
-    int starts = 0;
-    void on_attempt_started(SessionId, int, const core::Media&) override { starts += 1; }
-    void on_attempt_ended(SessionId id, int, Outcome outcome, const LoadReport&) override {
-        ends.emplace_back(id, outcome);
-    }
-    void on_attempt_lost(SessionId, int, Outcome) override {}
-    void on_attempt_released(SessionId, int) override {}
-    void on_session_note(SessionId, int, ServerId, NoteKind, double) override {}
-    bool reclaim_session(const core::OrphanedSession&) override { return false; }
-    void on_node_incarnation(ServerId, Time) override {}
-    void on_probe_result(ServerId, Outcome, Time, const LoadReport&) override {}
-};
-
 // A node starts to drain or is removed while a connection to it is being established: nothing is sent on it.
 TEST(RelayNodes, ASetUpStillDiallingIsNotSentToADrainingOrRemovedNode) {
     for (const bool gone : {false, true}) {
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -118,6 +118,7 @@
     std::string uid;
     io::Address address;
     std::string state = "ready";
+    double started_unix_ms = 0;  // 0: long ago
 };
 
 // Returns the DNS response to `query` with these nodes.
@@ -141,7 +142,8 @@
                                             std::string(n.state == "ready" ? "0" : "1") + " 40 " +
                                             std::to_string(n.address.port) + " " + host);
         add_record(LDNS_SECTION_ADDITIONAL, host + " 5 IN A " + n.address.host);
-        add_record(LDNS_SECTION_ADDITIONAL, host + " 5 IN TXT \"kind=std\" \"cell=2\" \"started=0\"");
+        add_record(LDNS_SECTION_ADDITIONAL, host + " 5 IN TXT \"kind=std\" \"cell=2\" \"started=" +
+                                                std::to_string(std::llround(n.started_unix_ms)) + "\"");
     }
     add_record(LDNS_SECTION_AUTHORITY,
                "svc.local. 5 IN SOA ns.svc.local. ops.svc.local. " + std::to_string(serial) + " 5 5 5 5");
