Busy clients share one turn of the event loop: others no longer wait for them

Cause: a turn of the loop read 64 KB of each connection, accepted up to 64 more and read 64 KB of each connection evicted for them (make_room() in 5 of 8 sampled stacks); each answer was a system call of its own.

Change, in src/io/ev: accepted streams read 16 KB a turn together, 1 to 8 KB each; 16 accepts a turn; answers to the messages of one read are sent together. An evicted connection is read for one message (Stream::read_available() takes the number of bytes).

Test: Sockets.ATurnReadsLittleOfManyBusyPeers, failing with the old sizes.

--- a/src/decide/memory_budget.cpp
+++ b/src/decide/memory_budget.cpp
@@ -10,8 +10,6 @@
 constexpr std::size_t kFreeDivisor = 4;
 // Part of the budget for sessions that are taken over: they come without an answer, so nothing paces them.
 constexpr std::size_t kTakeOverDivisor = 2;
-// Output that is always allowed: one message. The number of connections bounds the sum.
-constexpr std::size_t kMinUnsentOutput = 16 * 1024;
 
 }  // namespace
 
--- a/src/decide/memory_budget.hpp
+++ b/src/decide/memory_budget.hpp
@@ -14,6 +14,10 @@
 // The description of a set-up stands in the session's record and in what is to be sent to a node.
 constexpr std::size_t kDescriptionCopies = 2;
 
+// Output that a connection may always have unsent, in bytes: one message. The number of connections bounds
+// the sum.
+constexpr std::size_t kMinUnsentOutput = 16 * 1024;
+
 // Returns the estimated memory of a set-up with such a description, in bytes.
 constexpr std::size_t setup_cost(std::size_t description_bytes) {
     return kSetupBytes + kDescriptionCopies * description_bytes;
--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -20,6 +20,9 @@
 constexpr int kCauseRejected = relay::kCauseFull, kPongFailed = relay::kCauseError, kCauseUnusable = 100,
               kCauseSessionOver = 16;
 constexpr io::Time kSweepInterval = 250;  // ms
+// How much is read of a connection before it is closed, in bytes. An evicted one is not known to be idle, and
+// others wait meanwhile: one message is enough to tell.
+constexpr std::size_t kReadBeforeEviction = relay::kMaxMessageSize, kReadBeforeClose = 64 * 1024;
 
 // Parses a whole number in [min, max]; nothing if the text is anything else.
 std::optional<int> parse_integer(const std::string& text, int min, int max) {
@@ -195,7 +198,7 @@
 // Reads what has already arrived first; if that includes a set-up, the connection stays. Output already
 // written is still sent: a stream that has been ended is not reset when it is destroyed.
 void RelayFront::evict(Connection& connection) {
-    connection.stream->read_available();
+    connection.stream->read_available(kReadBeforeEviction);
     if (connection.removed || !connection.pending_setups.empty()) return;
     connection.stream->end();
     counts_.shed += 1;
@@ -286,7 +289,7 @@
 }
 
 void RelayFront::close_if_idle(Connection& connection) {
-    connection.stream->read_available();
+    connection.stream->read_available(kReadBeforeClose);
     if (!connection.removed && connection.pending_setups.empty())
         close_gracefully(connection, CloseReason::idle);
 }
@@ -319,7 +322,7 @@
     for (Connection* connection : drained) {
         if (connection->removed) continue;
         // A request already in the receive buffer was sent before our end and has to be answered.
-        connection->stream->read_available();
+        connection->stream->read_available(kReadBeforeClose);
         if (is_drained(*connection)) close_gracefully(*connection, CloseReason::drained);
     }
 }
@@ -345,7 +348,7 @@
     if (connection.output_overflowed) return;
     connection.stream->write(relay::encode_line(message));
     const std::size_t unsent = connection.stream->pending();
-    if (unsent == 0) return;
+    if (unsent <= decide::kMinUnsentOutput) return;
     if (unsent <= limits_.max_unsent_output && memory_budget_.can_hold_output(unsent, memory_in_use()))
         return;
     // Deferred: this call may carry out the module's rejection of one set-up while the sending of another one
--- a/src/io/ev/ev_loop.cpp
+++ b/src/io/ev/ev_loop.cpp
@@ -25,13 +25,19 @@
 
 // At most this much is accepted or read in one turn of the loop, so that one busy peer does not delay the
 // others.
-constexpr int kMaxAcceptsPerTurn = 64;
+constexpr int kMaxAcceptsPerTurn = 16;
 constexpr int kMaxDatagramsPerTurn = 16;
 constexpr std::size_t kMaxReadBytes = 64 * 1024;
+// What is read of accepted streams in one turn: of one at most, and of all together before the rest gets the
+// minimum. A peer that sends little waits for one turn, however many others send at full speed.
+constexpr std::size_t kMaxAcceptedReadBytes = 8 * 1024, kMinAcceptedReadBytes = 1024;
+constexpr std::size_t kAcceptedBytesPerTurn = 16 * 1024;
 // Bytes of an output buffer that are kept when it is empty, and bytes at its front that were sent but not
 // yet removed.
 constexpr std::size_t kMaxIdleBuffer = 4 * 1024;
 constexpr std::size_t kMaxSentPrefix = 64 * 1024;
+// While the messages of one read are handled, answers are sent once so many bytes have come together.
+constexpr std::size_t kMaxDelayedBytes = 8 * 1024;
 // When the process has run out of file descriptors, the listener waits this long before it accepts again;
 // otherwise the loop would spin on the same connection.
 constexpr double kAcceptRetryDelay_s = 0.1;
@@ -154,7 +160,9 @@
     }
     // Runs after the wait: reads the clock once for the whole turn.
     static void on_check(struct ev_loop*, ev_check* w, int) {
-        static_cast<Impl*>(w->data)->now = clock_ms(CLOCK_MONOTONIC);
+        auto* self = static_cast<Impl*>(w->data);
+        self->now = clock_ms(CLOCK_MONOTONIC);
+        self->accepted_bytes = 0;
     }
     static void on_timer(struct ev_loop*, ev_timer* w, int) {
         auto* self = static_cast<Impl*>(w->data);
@@ -182,6 +190,7 @@
     ev_check check;
     Time now;
     bool input_rechecked = false;
+    std::size_t accepted_bytes = 0;  // read of accepted streams in this turn
     TimerQueue timers;
     std::mt19937_64 random;
     std::list<SignalTask> signals;
@@ -203,7 +212,9 @@
         std::string out;       // output buffer
         std::size_t sent = 0;  // bytes of `out` that were sent
         bool connected = true, paused = false, ending = false, end_sent = false, peer_ended = false;
-        bool closed = false;           // the handler gets no more events
+        bool closed = false;  // the handler gets no more events
+        bool accepted = false;
+        bool delivering = false;       // written bytes are sent together when the callback has returned
         bool failure_pending = false;  // found during a call of the owner; reported from the loop
         CloseStatus failure_status = CloseStatus::reset;
         Address peer, local;
@@ -219,6 +230,13 @@
             }
             closed = true;
         }
+        // How much is read of it in this turn of the loop.
+        std::size_t max_read_bytes() const {
+            if (!accepted) return kMaxReadBytes;
+            const std::size_t left =
+                kAcceptedBytesPerTurn - std::min(kAcceptedBytesPerTurn, loop->accepted_bytes);
+            return std::clamp(left, kMinAcceptedReadBytes, kMaxAcceptedReadBytes);
+        }
         // Sets the events that the watcher waits for.
         void update_events() {
             if (fd < 0) return;
@@ -272,6 +290,7 @@
         s.loop = loop;
         s.fd = fd;
         s.connected = connected;
+        s.accepted = connected;
         s.handler = handler;
         ev_io_init(&s.io, on_io, fd, 0);
         ev_set_priority(&s.io, connected ? kAcceptedPriority : kDialledPriority);
@@ -310,7 +329,9 @@
         if (s.closed || s.ending || bytes.empty()) return;
         const bool idle = s.sent == s.out.size();
         s.out.append(bytes);
-        if (idle && s.connected) s.flush();
+        const std::size_t unsent = s.out.size() - s.sent;
+        if (s.delivering && unsent < kMaxDelayedBytes) return;
+        if ((idle || s.delivering) && s.connected) s.flush();
         s.update_events();
         if (s.failure_pending) schedule_callback(s);
     }
@@ -324,14 +345,14 @@
     }
     void pause() override { state_->paused = true, state_->update_events(); }
     void resume() override { state_->paused = false, state_->update_events(); }
-    void read_available() override {
+    void read_available(std::size_t max_bytes) override {
         const auto state = state_;
         State& s = *state;
         if (s.closed || !s.connected || s.paused || s.peer_ended) return;
-        read(s);
+        read(s, std::min(max_bytes, kMaxReadBytes));
         if (s.closed) return;
         s.update_events();
-        if (s.peer_ended && s.end_sent) schedule_callback(s);
+        if (s.failure_pending || (s.peer_ended && s.end_sent)) schedule_callback(s);
     }
     Address peer() const override { return state_->peer; }
     Address local() const override { return state_->local; }
@@ -366,7 +387,7 @@
             if (s.handler) s.handler->on_open();
             if (s.closed) return;
         }
-        if ((events & EV_READ) && !s.paused && !s.peer_ended) read(s);
+        if ((events & EV_READ) && !s.paused && !s.peer_ended) read(s, s.max_read_bytes());
         if (s.closed) return;
         if ((events & EV_WRITE) && s.sent < s.out.size()) {
             const bool done = s.flush();
@@ -381,23 +402,34 @@
     }
     // Uses a shared buffer, unless it is in use: a callback may read another stream (read_available) while it
     // still holds the bytes of its own.
-    static void read(State& s) {
+    static void read(State& s, std::size_t max_bytes) {
         static thread_local bool in_callback = false;
         if (in_callback) {
-            std::vector<char> buffer(kMaxReadBytes);
-            return read_into(s, buffer);
+            std::vector<char> buffer(max_bytes);
+            return read_into(s, buffer, max_bytes);
         }
         static thread_local std::vector<char> buffer(kMaxReadBytes);
         struct Guard {
             Guard() { in_callback = true; }
             ~Guard() { in_callback = false; }
         } guard;
-        read_into(s, buffer);
-    }
-    static void read_into(State& s, std::vector<char>& buffer) {
-        const ssize_t n = ::recv(s.fd, buffer.data(), buffer.size(), 0);
+        read_into(s, buffer, max_bytes);
+    }
+    // Answers to the messages of one read are sent together: each call of the system costs more than a
+    // message.
+    static void deliver(State& s, std::string_view bytes) {
+        if (!s.handler) return;
+        const bool was_idle = s.sent == s.out.size();
+        s.delivering = true;
+        s.handler->on_data(bytes);
+        s.delivering = false;
+        if (!s.closed && was_idle && s.sent < s.out.size()) s.flush();
+    }
+    static void read_into(State& s, std::vector<char>& buffer, std::size_t max_bytes) {
+        const ssize_t n = ::recv(s.fd, buffer.data(), max_bytes, 0);
+        if (n > 0 && s.accepted) s.loop->accepted_bytes += static_cast<std::size_t>(n);
         if (n > 0) {
-            if (s.handler) s.handler->on_data({buffer.data(), static_cast<std::size_t>(n)});
+            deliver(s, {buffer.data(), static_cast<std::size_t>(n)});
         } else if (n == 0) {
             s.peer_ended = true;
             if (s.handler) s.handler->on_end();
@@ -424,7 +456,7 @@
     void end() override {}
     void pause() override {}
     void resume() override {}
-    void read_available() override {}
+    void read_available(std::size_t) override {}
     Address peer() const override { return peer_; }
     Address local() const override { return {}; }
 
--- a/src/io/loop.hpp
+++ b/src/io/loop.hpp
@@ -75,10 +75,9 @@
     // While paused, on_data and on_end are not called; the peer is held back once the buffers are full.
     virtual void pause() = 0;
     virtual void resume() = 0;
-    // Delivers, within this call, bytes that have arrived but were not read yet, as far as one read takes
-    // them: a connection that looks idle may have a request in its buffer. The handler may destroy the
-    // stream.
-    virtual void read_available() = 0;
+    // Delivers, within this call, at most `max_bytes` that have arrived but were not read yet: a connection
+    // that looks idle may have a request in its buffer. The handler may destroy the stream.
+    virtual void read_available(std::size_t max_bytes) = 0;
     virtual Address peer() const = 0;
     virtual Address local() const = 0;
 };
--- a/src/io/virtual/world.cpp
+++ b/src/io/virtual/world.cpp
@@ -79,7 +79,7 @@
     }
     // Nothing to do: bytes are delivered as soon as they arrive, unless the stream is paused or its process
     // stalled.
-    void read_available() override {}
+    void read_available(std::size_t) override {}
     Address peer() const override { return endpoint_->peer; }
     Address local() const override { return endpoint_->local; }
 
--- a/tests/io/io_test.cpp
+++ b/tests/io/io_test.cpp
@@ -267,6 +267,42 @@
     }
 }
 
+// Guards against one turn of the loop that handles all that many busy peers have sent, while others wait.
+TEST(Sockets, ATurnReadsLittleOfManyBusyPeers) {
+    constexpr std::size_t kPeers = 40, kBytesOfEach = 256 * 1024, kMaxBytesOfATurn = 64 * 1024;
+    EvLoop loop(1);
+    std::map<Time, std::size_t> bytes_by_turn;  // the clock stands still within a turn
+    std::size_t received = 0;
+    struct Receiver : StreamHandler {
+        std::unique_ptr<Stream> stream;
+        std::function<void(std::size_t)> count;
+        void on_data(std::string_view bytes) override { count(bytes.size()); }
+        void on_end() override {}
+        void on_closed(CloseStatus) override {}
+    };
+    std::list<Receiver> receivers;
+    const auto listener = loop.listen({"127.0.0.1", 0}, [&](std::unique_ptr<Stream> stream) {
+        Receiver& receiver = receivers.emplace_back();
+        receiver.stream = std::move(stream);
+        receiver.count = [&](std::size_t bytes) {
+            bytes_by_turn[loop.now()] += bytes;
+            received += bytes;
+            if (received == kPeers * kBytesOfEach) loop.stop();
+        };
+        receiver.stream->set_handler(&receiver);
+    });
+    std::list<RecordingHandler> peers;
+    for (std::size_t k = 0; k < kPeers; ++k) {
+        RecordingHandler& peer = peers.emplace_back();
+        peer.stream = loop.dial(listener->address(), 1000, &peer);
+        peer.stream->write(std::string(kBytesOfEach, 'x'));
+    }
+    Timer timeout = loop.after(20000, [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(received, kPeers * kBytesOfEach);
+    for (const auto& [turn, bytes] : bytes_by_turn) EXPECT_LE(bytes, kMaxBytesOfATurn);
+}
+
 TEST(Sockets, ReadingAnotherStreamInACallbackKeepsItsBytes) {
     EvLoop loop(1);
     std::list<RecordingHandler> accepted;
@@ -280,7 +316,7 @@
         Stream* other = nullptr;
         std::string received;
         void on_data(std::string_view bytes) override {
-            if (other) std::exchange(other, nullptr)->read_available();
+            if (other) std::exchange(other, nullptr)->read_available(64 * 1024);
             received += bytes;
         }
         void on_end() override {}
