State kept under names that clients choose is bounded: recent viewers, seats, load history

Cause, by reading the module's containers and by runs with one of them bounded at a time: recent_viewers_ and over_share_ hold each viewer for 60 s; own_history holds each change of a load for 10 s, though only the first of a moment is ever looked up; seats_taken_ kept a zero for each title once played.

Change: 10,000 recent viewers, one history entry a moment (no lookup gives another result), empty seats erased.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -71,7 +71,7 @@
 // request (a title that no server knows): it counts against the server only if the session then plays
 // elsewhere. After kMaxErrors of them the session is given up, since its attempts use up the retry budget of
 // all sessions.
-constexpr std::size_t kMaxPlayedTitles = 10000, kMaxErrors = 2;
+constexpr std::size_t kMaxPlayedTitles = 10000, kMaxRecentViewers = 10000, kMaxErrors = 2;
 // A success lowers the error rate by less than an error raises it, and the rate counts double in the choice
 // of a server: a server that fails fast is idle and would otherwise attract all sessions.
 constexpr double kErrorRateDecay = 0.1, kErrorRateCost = 2;
@@ -138,7 +138,8 @@
 
     void set_own_load(Time now, double value) {
         if (value == own_load) return;
-        own_history.emplace_back(now, own_load);
+        // Only the first change of each moment is ever looked up.
+        if (own_history.empty() || own_history.back().first < now) own_history.emplace_back(now, own_load);
         while (own_history.front().first < now - 10000) own_history.pop_front();
         if (fleet) fleet->own_load += value - own_load;
         own_load = value;
@@ -840,7 +841,8 @@
     bool is_over_share(const SessionRequest& request) {
         if (request.tenant >= int(cfg_.tenants.size()) || cfg_.tenants[request.tenant].quota_per_s <= 0)
             return false;
-        while (!recent_viewers_.empty() && recent_viewers_.front().first < now_ - kViewerMemory) {
+        while (!recent_viewers_.empty() && (recent_viewers_.front().first < now_ - kViewerMemory ||
+                                            recent_viewers_.size() >= kMaxRecentViewers)) {
             over_share_.erase(recent_viewers_.front().second);
             recent_viewers_.pop_front();
         }
@@ -929,7 +931,9 @@
         if (it == sessions_.end()) return;
         Session& session = it->second;
         if (server && server->sessions.erase(event.id) > 0) count_session(*server, session, -1);
-        if (class_of(session).seats > 0) seats_taken_[{session.request.title, session.request.cls}] -= 1;
+        if (const auto seat = seats_taken_.find({session.request.title, session.request.cls});
+            class_of(session).seats > 0 && seat != seats_taken_.end() && --seat->second == 0)
+            seats_taken_.erase(seat);
         const bool is_over = event.session_ended || session.abandoned || !was_pending;
         if (event.outcome != Outcome::full && event.outcome != Outcome::not_connected &&
             event.outcome != Outcome::not_sent)
