A set-up whose client has left is not sent on, and a paid one that comes again is not run twice

A paid set-up whose connection was reset and that came again under its number ran twice. One that came again before the old connection's end was read was refused as repeated.

Cause: the end of a connection was noticed only behind all the bytes before it; a withdrawn set-up was forgotten together with may_have_run. Ruled out: the engine's queue (a withdrawn set-up leaves it at once).

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -175,6 +175,11 @@
         return session.record.id;
     }
     const SessionId id = request.preassigned_id.value_or(last_id_ + 1);
+    if (request.preassigned_id && !repeated_setups_.may_run(id, loop_.now())) {
+        counts_.repeated += 1;
+        handler->on_failed();
+        return id;
+    }
     if (!request.preassigned_id) last_id_ = id;
     auto owned = std::make_unique<Session>();
     Session& session = *owned;
@@ -334,6 +339,12 @@
     if (!session.record.answered) throw_violation(session, "finished without an answer");
     session_by_key_.erase(make_request_key(session.record.request));
     remember_sid(session);
+    if (session.record.request.preassigned_id) {
+        const ClassSettings& cls = settings_.classes[static_cast<std::size_t>(session.record.request.cls)];
+        // An attempt that is still pending here is cancelled, which proves nothing.
+        const bool may_have_run = session.may_have_run || session.attempt >= 0;
+        repeated_setups_.record({id, cls.idempotency, may_have_run}, loop_.now());
+    }
     session.record.ended_at = loop_.now();
     session.record.ended_by = ended_by;
     session.record.rung = session.rung;
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -27,6 +27,7 @@
 #include <vector>
 
 #include "core/ports.hpp"
+#include "decide/repeated_setup.hpp"
 #include "io/loop.hpp"
 
 namespace ivyfield::core {
@@ -81,6 +82,7 @@
     std::uint64_t accepted = 0, joined = 0, established = 0, rejected = 0, failed = 0, abandoned = 0;
     std::uint64_t attempts = 0, retries = 0, missed_deadlines = 0, ended = 0, reset = 0;
     std::uint64_t reclaimed = 0, not_reclaimed = 0;
+    std::uint64_t repeated = 0;  // requests that came again and must not run twice; answered as failed
     std::uint64_t ends_crossing_answers = 0;  // sessions with SessionRecord::end_crossed_answer
     std::uint64_t invariant_violations = 0;   // each fails its session
 };
@@ -116,8 +118,9 @@
     // told, because it neither ended the session itself nor has been told that it is moved.
     std::function<void(SessionId, bool notify_viewer, bool moved)> on_session_terminated;
 
-    // Requests a session. The handler is called once with the answer, possibly within this call, unless the
-    // request is withdrawn first. A request with the same sid for the same title joins the existing
+    // Requests a session. One with the preassigned id of an earlier request that may have run and must not
+    // run twice fails at once. The handler is called once with the answer, possibly within this call, unless
+    // the request is withdrawn first. A request with the same sid for the same title joins the existing
     // session: there is no second set-up, and it gets the same answer.
     SessionId open_session(const ViewerRequest& request, AnswerHandler* handler);
     // Withdraws a request whose connection is gone; its handler is not called any more.
@@ -224,6 +227,7 @@
     std::map<std::string, SessionId> session_by_key_;  // keys by make_request_key()
     std::map<std::string, RememberedSid> remembered_sids_;
     std::deque<std::pair<Time, std::string>> sid_expiry_queue_;
+    decide::RepeatedSetups repeated_setups_;  // requests with preassigned ids
     std::deque<Event> pending_events_;
     bool dispatching_ = false;
     std::map<std::uint64_t, io::Timer> timers_;
--- a/src/fronts/relay/front.cpp
+++ b/src/fronts/relay/front.cpp
@@ -475,25 +475,35 @@
     return "";
 }
 
+// Two requests under one session number. On the same connection an answer to one would be taken for both, so
+// neither is served, and no more set-ups are accepted on it: such a client may repeat this hundreds of times.
+// Other set-ups pending on it are answered before it is closed. If the second request comes on another
+// connection, only that one is rejected.
+void RelayFront::handle_repeated_number(Connection& connection, Request& earlier,
+                                        const ViewerMessage& message) {
+    counts_.repeated += 1;
+    if (earlier.connection == &connection) {
+        const std::string first_id_text = earlier.id_text;
+        connection.rejects_setups = true;
+        engine_.withdraw_request(message.session, &earlier);
+        finish_request(message.session);
+        send_release(connection, first_id_text, kCauseUnusable);
+    }
+    send_release(connection, message.id, kCauseUnusable);
+    return close_if_done(connection);
+}
+
 void RelayFront::handle_setup(Connection& connection, const ViewerMessage& message) {
     counts_.setups += 1;
     if (connection.rejects_setups) return send_release(connection, message.id, kCauseUnusable);
-    if (const auto it = requests_.find(message.session); it != requests_.end()) {
-        // Two requests under one session number. On the same connection an answer to one would be taken for
-        // both, so neither is served, and no more set-ups are accepted on it: such a client may repeat this
-        // hundreds of times. Other set-ups pending on it are answered before it is closed. If the second
-        // request comes on another connection, only that one is rejected.
-        counts_.repeated += 1;
-        if (it->second->connection == &connection) {
-            const std::string first_id_text = it->second->id_text;
-            connection.rejects_setups = true;
-            engine_.withdraw_request(message.session, it->second.get());
-            finish_request(message.session);
-            send_release(connection, first_id_text, kCauseUnusable);
-        }
-        send_release(connection, message.id, kCauseUnusable);
-        return close_if_done(connection);
+    auto earlier = requests_.find(message.session);
+    if (earlier != requests_.end() && earlier->second->connection != &connection &&
+        earlier->second->connection->stream->has_peer_closed()) {
+        // Its client has left and comes again; what it left behind is over before its end has been read.
+        handle_client_close(*earlier->second->connection, CloseReason::client_end);
+        earlier = requests_.find(message.session);
     }
+    if (earlier != requests_.end()) return handle_repeated_number(connection, *earlier->second, message);
     core::ViewerRequest request;
     std::string node_uid;
     const std::string why = parse_setup(message, request, node_uid);
@@ -528,6 +538,11 @@
         }
         return;
     }
+    // Clients never half-close: nobody waits for an answer any more, although the set-up is read only now.
+    if (connection.stream->has_peer_closed()) {
+        counts_.left_unread += 1;
+        return;
+    }
     if (engine_.has_session(message.session)) {  // the number belongs to an established session
         counts_.repeated += 1;
         return send_release(connection, message.id, kCauseUnusable);
--- a/src/fronts/relay/front.hpp
+++ b/src/fronts/relay/front.hpp
@@ -64,15 +64,16 @@
 
 // Counters of a RelayFront since its start. Connections: accepted (connections), evicted (shed), closed by
 // reason. Set-ups: received (setups), invalid (bad), with a session number in use (repeated), cancelled or
-// abandoned by their client (gave_up). Lines that can't be parsed (unreadable); pings; sessions taken over
-// (adopted) and ended by their viewer (hung_up); end notices sent (releases); releases of unknown sessions;
-// connections and set-ups turned away for lack of room or during a shutdown, and of these set-ups and
-// sessions those for which there was no memory (over_memory).
+// abandoned by their client (gave_up), of these read only after their client had left (left_unread). Lines
+// that can't be parsed (unreadable); pings; sessions taken over (adopted) and ended by their viewer
+// (hung_up); end notices sent (releases); releases of unknown sessions; connections and set-ups turned away
+// for lack of room or during a shutdown, and of these set-ups and sessions those for which there was no
+// memory (over_memory).
 struct RelayFrontCounts {
     std::array<std::uint64_t, kCloseReasons> closed{};  // connections by CloseReason
-    std::uint64_t connections = 0, setups = 0, unreadable = 0, bad = 0, repeated = 0, gave_up = 0, pings = 0,
-                  adopted = 0, hung_up = 0, releases = 0, unknown_releases = 0, shed = 0, turned_away = 0,
-                  over_memory = 0;
+    std::uint64_t connections = 0, setups = 0, unreadable = 0, bad = 0, repeated = 0, gave_up = 0,
+                  left_unread = 0, pings = 0, adopted = 0, hung_up = 0, releases = 0, unknown_releases = 0,
+                  shed = 0, turned_away = 0, over_memory = 0;
 };
 
 // Names of classes and tenants in the order of the settings.
@@ -139,6 +140,8 @@
     void handle_data(Connection& connection, std::string_view bytes);
     void handle_line(Connection& connection, const std::string& line);
     void handle_setup(Connection& connection, const relay::ViewerMessage& message);
+    void handle_repeated_number(Connection& connection, Request& earlier,
+                                const relay::ViewerMessage& message);
     void handle_release(Connection& connection, const relay::ViewerMessage& message);
     std::string parse_setup(const relay::ViewerMessage& message, core::ViewerRequest& request,
                             std::string& node_uid) const;
--- a/src/io/ev/ev_loop.cpp
+++ b/src/io/ev/ev_loop.cpp
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
@@ -354,6 +355,13 @@
         s.update_events();
         if (s.failure_pending || (s.peer_ended && s.end_sent)) schedule_callback(s);
     }
+    bool has_peer_closed() const override {
+        const State& s = *state_;
+        if (s.closed || s.peer_ended) return true;
+        if (!s.connected) return false;
+        pollfd watched{s.fd, POLLRDHUP, 0};
+        return ::poll(&watched, 1, 0) > 0 && (watched.revents & (POLLRDHUP | POLLERR | POLLHUP)) != 0;
+    }
     Address peer() const override { return state_->peer; }
     Address local() const override { return state_->local; }
 
@@ -457,6 +465,7 @@
     void pause() override {}
     void resume() override {}
     void read_available(std::size_t) override {}
+    bool has_peer_closed() const override { return true; }
     Address peer() const override { return peer_; }
     Address local() const override { return {}; }
 
--- a/src/io/loop.hpp
+++ b/src/io/loop.hpp
@@ -78,6 +78,9 @@
     // Delivers, within this call, at most `max_bytes` that have arrived but were not read yet: a connection
     // that looks idle may have a request in its buffer. The handler may destroy the stream.
     virtual void read_available(std::size_t max_bytes) = 0;
+    // Whether the peer is known to have ended its direction or the connection, even if bytes that it sent
+    // before are still to be read.
+    virtual bool has_peer_closed() const = 0;
     virtual Address peer() const = 0;
     virtual Address local() const = 0;
 };
--- a/src/io/virtual/world.cpp
+++ b/src/io/virtual/world.cpp
@@ -80,6 +80,11 @@
     // Nothing to do: bytes are delivered as soon as they arrive, unless the stream is paused or its process
     // stalled.
     void read_available(std::size_t) override {}
+    bool has_peer_closed() const override {
+        const Endpoint& e = *endpoint_;
+        return e.closed || e.peer_ended ||
+               std::any_of(e.unread.begin(), e.unread.end(), [](const auto& piece) { return piece.empty(); });
+    }
     Address peer() const override { return endpoint_->peer; }
     Address local() const override { return endpoint_->local; }
 
--- a/tests/relay/process_test.cpp
+++ b/tests/relay/process_test.cpp
@@ -230,6 +230,64 @@
         << received.size();
 }
 
+// Guards against set-ups that are sent on after their client has closed its connection with much unread.
+TEST(RelayProcessRaces, SetUpsReadAfterTheirClientLeftAreNotSentOn) {
+    constexpr std::uint64_t kLeft = 400, kNext = 1000;
+    ProcessRig rig;
+    rig.start();
+    PeerConnection leaving = rig.connect_viewer(), next = rig.connect_viewer();
+    rig.barrier(leaving);
+    rig.barrier(next);
+    rig.suspend();
+    for (std::uint64_t id = 1; id <= kLeft; ++id) leaving.send_line(make_setup_line(id, "free one"));
+    leaving.close();
+    rig.resume();
+    next.send_line(make_setup_line(kNext, "free one"));
+    std::list<PeerConnection> links;
+    std::size_t sent_on = 0;
+    bool reached = false;
+    EXPECT_TRUE(rig.wait_until([&] {
+        pollfd listener{rig.node_fd(0), POLLIN, 0};
+        if (::poll(&listener, 1, 0) == 1) links.push_back(rig.accept_connection());
+        for (PeerConnection& link : links)
+            for (link.receive_available(); const auto m = link.next_frame();) {
+                if (m->type != MessageType::setup) continue;
+                reached = reached || m->session == kNext;
+                sent_on += m->session != kNext;
+            }
+        return reached;
+    }));
+    EXPECT_EQ(sent_on, 0u);
+}
+
+// Guards against a set-up that is refused as repeated because its client's earlier connection has ended
+// unread.
+TEST(RelayProcessRaces, ASetUpComesAgainBeforeTheEndOfItsEarlierConnectionIsRead) {
+    ProcessRig rig;
+    rig.start();
+    // The director reads the connections in an order that it chooses, so both orders are tried.
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        PeerConnection one = rig.connect_viewer(), two = rig.connect_viewer();
+        PeerConnection &before = id == 1 ? one : two, &after = id == 1 ? two : one;
+        rig.barrier(before);
+        rig.barrier(after);
+        before.send_line(make_setup_line(id, "free one"));
+        PeerConnection first = rig.accept_connection();
+        EXPECT_EQ(rig.await_frame(first, MessageType::setup).session, id);
+        rig.suspend();
+        before.close();
+        after.send_line(make_setup_line(id, "free one"));
+        rig.resume();
+        PeerConnection second = rig.accept_connection();
+        EXPECT_EQ(rig.await_frame(second, MessageType::setup).session, id);
+        second.send(MessageType::answer, id, -1, {{63, "it plays"}});
+        EXPECT_EQ(rig.await_line(after).type, MessageType::answer);
+        second.send(MessageType::release, id, kCauseGivenUp);
+        EXPECT_EQ(rig.await_line(after).type, MessageType::release);
+        second.reset();
+    }
+}
+
 // Half a line and a close, a set-up and a close, a set-up and a reset: no attempt is begun, or it is
 // cancelled.
 TEST(RelayProcessRaces, SetUpAndCloseOfItsClient) {
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -121,6 +121,34 @@
     EXPECT_EQ(rig.director->front().pending_setups(), 0u);
 }
 
+// Guards against a paid set-up that runs twice because it comes again after its client's connection broke.
+TEST(Relay, APaidSetUpThatComesAgainAfterItsClientLeftIsNotRunTwice) {
+    for (const bool paid : {true, false}) {
+        Rig rig(2);
+        for (auto& node : rig.nodes)
+            node->on_message = [](auto& link, const auto& m) {
+                if (m.type == MessageType::ping) link.send(MessageType::pong, m.session, 1);
+            };
+        Viewer& first = rig.connect_viewer();
+        first.send_line(make_setup_line(1, paid ? "paid" : "free one"));
+        rig.run_for(50);
+        const auto count_setups = [&] {
+            return rig.nodes[0]->received_of(MessageType::setup).size() +
+                   rig.nodes[1]->received_of(MessageType::setup).size();
+        };
+        ASSERT_EQ(count_setups(), 1u);
+        first.stream.reset();
+        rig.run_for(15);
+        Viewer& again = rig.connect_viewer();
+        again.send_line(make_setup_line(1, paid ? "paid" : "free one"));
+        rig.run_for(50);
+        EXPECT_EQ(count_setups(), paid ? 1u : 2u);
+        if (!paid) continue;
+        ASSERT_EQ(again.received_of(MessageType::release).size(), 1u);
+        EXPECT_EQ(again.received_of(MessageType::release)[0].cause, 47) << "failed, not refused";
+    }
+}
+
 TEST(Relay, ARepeatedSessionNumberDisturbsNeitherAnswer) {
     Rig rig;
     rig.nodes[0]->on_message = [](auto& link, const auto& m) {
