ivyfield serve: requests that are never completed stay within a memory budget

Cause: limits of each message and connection, none of all together; a rejected request kept its body until its linger ended.

Change: http::Server counts what each connection holds and asks decide::MemoryBudget, as the platform's front does; beyond it the request is answered 503. players.memory_mb (128) is the process's limit.

Heads of many short fields did not show the fault (2.2 MB with 500 clients). Test: HttpTest.UnfinishedRequestsOfManyClientsStayWithinTheMemoryBudget, failing without the check (over_memory 0).

--- a/src/cli/director.cpp
+++ b/src/cli/director.cpp
@@ -158,6 +158,7 @@
                   {"bad", front_counts.bad},
                   {"hints_dropped", front_counts.hints_dropped},
                   {"preflights", front_counts.preflights},
+                  {"over_memory", front_.http_counts().over_memory},
                   {"gone", front_counts.gone}}},
                 {"list",
                  {{"nodes", node_count_},
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -253,6 +253,7 @@
     reader.child("nodes").get("connections", config.max_connections_per_node);
     reader.child("nodes").get("silent_ms", config.node_silence_timeout_ms);
     reader.child("players").get("connections", config.max_player_connections);
+    reader.child("players").get("memory_mb", config.memory_mb);
     reader.child("players").get("idle_ms", config.player_idle_timeout_ms);
     read_fleet(reader.child("fleet"), config);
     read_rules(reader.child("rules"), config);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -30,6 +30,7 @@
     double max_list_wait_ms = 30000, max_staleness_ms = 60000;
     bool allow_stale_list = true;
     std::size_t max_connections_per_node = 64, max_player_connections = 20000;
+    std::size_t memory_mb = 128;  // of the process; half of it for what players hold
     double node_silence_timeout_ms = 3000, player_idle_timeout_ms = 60000;
     std::vector<std::string> kinds;  // names of the kinds of media nodes, by index
     int copies = 0;                  // number of cells that hold a title
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t kMaxTitleLength = 200;
+constexpr std::size_t kBytesPerMegabyte = 1024 * 1024;
 // Headers that pages of other origins may send and read (CORS).
 constexpr const char* kAllowedRequestHeaders = "CMCD-Request, CMCD-Object, CMCD-Status, CMCD-Session";
 constexpr const char* kExposedResponseHeaders = "CMSD-Dynamic, CMSD-Static, Retry-After";
@@ -147,6 +148,7 @@
           [&] {
               http::ServerLimits limits;
               limits.max_connections = config.max_player_connections;
+              limits.memory = config.memory_mb * kBytesPerMegabyte;
               limits.idle_timeout = config.player_idle_timeout_ms;
               limits.parse.max_body_bytes = 64 * 1024;
               return limits;
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -210,6 +210,17 @@
            request_.headers.has_token("Expect", "100-continue");
 }
 
+std::size_t Parser::buffered_bytes() const {
+    const auto message_bytes = [](const Headers& headers, const std::string& body) {
+        std::size_t bytes = body.capacity();
+        for (const auto& field : headers.fields())
+            bytes += sizeof field + field.first.size() + field.second.size();
+        return bytes;
+    };
+    return head_.capacity() + request_.target.capacity() + message_bytes(request_.headers, request_.body) +
+           message_bytes(response_.headers, response_.body);
+}
+
 Parser::Status Parser::fail(int status, std::string reason) {
     if (!failed_) error_ = {status, std::move(reason)};
     failed_ = true;
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -63,6 +63,8 @@
     bool is_in_body() const;  // the head is complete
     bool keep_alive() const { return keep_alive_; }
     bool expects_continue() const;
+    // Memory held for the message that is being parsed, in bytes.
+    std::size_t buffered_bytes() const;
 
     // Valid once the head is complete.
     Request& request() { return request_; }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -53,7 +53,10 @@
         if (server_.paused_) stream_->pause();
         update_timer();
     }
-    ~Connection() override { detach_all(); }
+    ~Connection() override {
+        detach_all();
+        server_.held_bytes_ -= held_bytes_;
+    }
 
     // Writes what the exchanges have buffered, as far as it is their turn.
     void flush() {
@@ -154,7 +157,19 @@
             }
             accept_request();
         }
-        if (!closed_) update_timer();
+        if (closed_) return;
+        if (!closing_ && !has_memory()) {
+            server_.counts_.over_memory += 1;
+            return reject({503, "too much is held for clients"});
+        }
+        update_timer();
+    }
+    // Counts what is held for the client, and returns whether that may be held on.
+    bool has_memory() {
+        server_.held_bytes_ -= held_bytes_;
+        held_bytes_ = parser_.buffered_bytes() + unparsed_.capacity() + stream_->pending();
+        server_.held_bytes_ += held_bytes_;
+        return server_.memory_budget_.can_hold(held_bytes_, server_.held_bytes_);
     }
     // Passes a complete request to the handler.
     void accept_request() {
@@ -176,8 +191,11 @@
     void stop_reading() { closing_ = true, unparsed_.clear(); }
 
     // Answers a malformed or late request with an error and closes the connection.
-    void reject(const ParseError& error) {
+    void reject(ParseError error) {
         server_.counts_.rejected += 1;
+        parser_.request() = Request{};
+        std::string().swap(unparsed_);
+        has_memory();
         const ExchangePtr exchange(new Exchange(this, {}, stream_->peer(), false, 1));
         closing_ = true;
         queue_.push_back(exchange);
@@ -267,7 +285,7 @@
     io::Timer timer_;
     TimerKind timer_kind_ = TimerKind::idle;
     io::Time message_started_ = 0, last_progress_ = 0;
-    std::size_t last_pending_ = 0;
+    std::size_t last_pending_ = 0, held_bytes_ = 0;
     bool reading_paused_ = false, peer_ended_ = false, closing_ = false, end_sent_ = false, closed_ = false;
     bool flushing_ = false, last_request_accepted_ = false;
 };
@@ -326,7 +344,7 @@
 }
 
 Server::Server(io::Loop& loop, const io::Address& address, const ServerLimits& limits, Handler handler)
-    : loop_(loop), limits_(limits), handler_(std::move(handler)) {
+    : loop_(loop), limits_(limits), memory_budget_(limits.memory), handler_(std::move(handler)) {
     listener_ = loop_.listen(address, [this](std::unique_ptr<io::Stream> stream) {
         counts_.connections += 1;
         const std::uint64_t id = ++last_id_;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 
+#include "decide/memory_budget.hpp"
 #include "http/parser.hpp"
 #include "io/loop.hpp"
 
@@ -17,6 +18,7 @@
     ParseLimits parse;
     std::size_t max_connections = 20000;         // further ones wait in the system's backlog
     std::size_t max_pipelined_requests = 8;      // unanswered requests of a connection before reading stops
+    std::size_t memory = 256 * 1024 * 1024;      // of the process; see decide::MemoryBudget
     std::size_t max_unsent_bytes = 1024 * 1024;  // of a connection, before Exchange::write returns false
     io::Time idle_timeout = 60000;               // between two messages with no response pending
     io::Time head_timeout = 10000;               // from a request's first byte to the end of its head
@@ -28,7 +30,8 @@
 // Counters since the server was created.
 struct ServerCounts {
     std::uint64_t connections = 0, requests = 0, rejected = 0;  // rejected: answered 4xx by the server itself
-    std::uint64_t timed_out = 0;  // connections closed because the peer sent or received too slowly
+    std::uint64_t over_memory = 0;  // requests rejected because clients hold too much
+    std::uint64_t timed_out = 0;    // connections closed because the peer sent or received too slowly
 };
 
 class Connection;
@@ -94,6 +97,8 @@
     io::Address address() const { return listener_ ? listener_->address() : io::Address{}; }
     std::size_t open_connections() const { return connections_.size(); }
     const ServerCounts& counts() const { return counts_; }
+    // Memory held for messages that are not complete and for responses that are not read, in bytes.
+    std::size_t held_bytes() const { return held_bytes_; }
     void stop_listening() { listener_.reset(); }
     // Closes connections without pending responses, and each other one after its last response. New ones are
     // still accepted, so that connections in the system's backlog are answered; stop_listening() ends that.
@@ -110,6 +115,8 @@
 
     io::Loop& loop_;
     ServerLimits limits_;
+    decide::MemoryBudget memory_budget_;
+    std::size_t held_bytes_ = 0;
     Handler handler_;
     ServerCounts counts_;
     std::uint64_t last_id_ = 0;
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -1,6 +1,8 @@
 // The HTTP server and client against each other, on simulated time and on sockets.
 #include <gtest/gtest.h>
 
+#include <list>
+
 #include "http/client.hpp"
 #include "http/server.hpp"
 #include "io/ev/ev_loop.hpp"
@@ -48,6 +50,38 @@
 };
 const io::Address kServer{"127.0.0.1", 80};
 
+// Guards against requests that are never completed and together take more memory than the process has.
+TEST_F(HttpTest, UnfinishedRequestsOfManyClientsStayWithinTheMemoryBudget) {
+    world.network.random_piece_sizes = false;
+    world.network.max_piece_size = 1460;
+    limits.memory = 2 * 1024 * 1024;
+    limits.parse.max_body_bytes = 64 * 1024;
+    serve_echo();
+    std::string fields;
+    for (int k = 0; k < 90; ++k) fields += "a" + std::to_string(k) + ":b\r\n";
+    const std::string head = "POST /1 HTTP/1.1\r\nHost: x\r\n" + fields + "Content-Length: 65000\r\n\r\n";
+    std::list<RawClient> clients;
+    for (int k = 0; k < 200; ++k) {
+        clients.emplace_back(client_loop, kServer);
+        clients.back().stream->write(head + std::string(64000, 'x'));
+    }
+    std::size_t most_held = 0;
+    for (int k = 0; k < 300; ++k) {
+        world.run_until(world.now() + 1);
+        most_held = std::max(most_held, server->held_bytes());
+    }
+    EXPECT_GT(server->counts().over_memory, 0u);
+    EXPECT_LT(most_held, limits.memory);
+    RawClient usual(client_loop, kServer);
+    usual.stream->write("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    world.run_until(world.now() + 50);
+    EXPECT_EQ(usual.received.find("HTTP/1.1 200"), 0u) << usual.received;
+    clients.clear();
+    world.run_until(world.now() + 50);
+    EXPECT_EQ(server->open_connections(), 1u);
+    EXPECT_LT(server->held_bytes(), 16u * 1024);
+}
+
 TEST_F(HttpTest, PipelinedRequestsAreAnsweredInOrder) {
     serve([this](const ExchangePtr& e) { exchanges.push_back(e); });
     RawClient raw_client(client_loop, kServer);
